--- /dev/null
+++ b/src/bookkeeping/budget.rs
@@ -0,0 +1,43 @@
+//! A node's share of a rate limit, as a token bucket.
+
+use crate::units::Time;
+
+#[derive(Debug, Clone)]
+pub struct Budget {
+    per_s: f64,
+    level: f64,
+    at: Time,
+}
+
+impl Budget {
+    pub fn new(per_s: f64) -> Self {
+        Budget { per_s, level: per_s, at: Time(0) }
+    }
+
+    fn refill(&mut self, now: Time) {
+        self.level = (self.level + self.per_s * now.since(self.at).as_secs()).min(self.per_s);
+        self.at = self.at.max(now);
+    }
+
+    /// Takes `cost` if that much is there.
+    pub fn take(&mut self, now: Time, cost: f64) -> bool {
+        self.refill(now);
+        let fits = self.level >= cost;
+        if fits {
+            self.level -= cost;
+        }
+        fits
+    }
+
+    /// Takes `cost` even on credit; for what cannot wait, such as fencing.
+    pub fn force(&mut self, now: Time, cost: f64) {
+        self.refill(now);
+        self.level = (self.level - cost).max(-self.per_s);
+    }
+
+    /// How much may be taken now.
+    pub fn level(&mut self, now: Time) -> f64 {
+        self.refill(now);
+        self.level
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/lifetimes.rs
@@ -0,0 +1,151 @@
+//! How long machines of a kind live: the history behind P_c.
+
+use std::collections::VecDeque;
+
+/// Lifetimes kept per kind and zone.
+pub const WINDOW: usize = 200;
+
+/// One machine's life: its length, and whether its end was a loss. Machines
+/// still up or given back only show that they survived so long.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Life {
+    pub age_s: f64,
+    pub lost: bool,
+}
+
+/// Survival of machines, estimated as Kaplan and Meier do, so that censored
+/// lives count for as long as they were watched and no longer.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    ended: VecDeque<Life>,
+    /// (age, share surviving beyond it), ages rising.
+    steps: Vec<(f64, f64)>,
+    longest: f64,
+}
+
+impl History {
+    pub fn add(&mut self, life: Life) {
+        if self.ended.len() == WINDOW {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(life);
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.ended.is_empty()
+    }
+
+    /// Rebuilds the curve from the ended lives and the ages of machines still up.
+    pub fn rebuild(&mut self, still_up: &[f64]) {
+        let mut lives: Vec<Life> = self.ended.iter().copied().collect();
+        lives.extend(still_up.iter().map(|&age_s| Life { age_s, lost: false }));
+        lives.sort_by(|a, b| a.age_s.total_cmp(&b.age_s));
+        self.longest = lives.last().map_or(0.0, |l| l.age_s);
+        self.steps.clear();
+        let mut share = 1.0;
+        let total = lives.len();
+        for (before, life) in lives.iter().enumerate() {
+            if life.lost {
+                share *= 1.0 - 1.0 / (total - before) as f64;
+                self.steps.push((life.age_s, share));
+            }
+        }
+    }
+
+    /// P(X > age).
+    fn survival(&self, age: f64) -> f64 {
+        let after = self.steps.partition_point(|&(at, _)| at <= age);
+        if after == 0 {
+            1.0
+        } else {
+            self.steps[after - 1].1
+        }
+    }
+
+    /// P(X > e + d | X > e); 1 with no history, or at an age past every lifetime.
+    pub fn outlasts(&self, e: f64, d: f64) -> f64 {
+        if self.steps.is_empty() || e >= self.longest {
+            return 1.0;
+        }
+        let now = self.survival(e);
+        if now <= 0.0 {
+            return 1.0;
+        }
+        self.survival(e + d) / now
+    }
+
+    /// E(X - e | e < X < e + d): the time a loss within the task's run wastes.
+    pub fn wasted(&self, e: f64, d: f64) -> f64 {
+        let mut before = self.survival(e);
+        let (mut sum, mut mass) = (0.0, 0.0);
+        for &(at, share) in &self.steps {
+            if at <= e {
+                continue;
+            }
+            if at >= e + d {
+                break;
+            }
+            sum += (before - share) * (at - e);
+            mass += before - share;
+            before = share;
+        }
+        if mass > 0.0 {
+            sum / mass
+        } else {
+            d / 2.0
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn history(lost: &[f64], up: &[f64]) -> History {
+        let mut history = History::default();
+        for &age_s in lost {
+            history.add(Life { age_s, lost: true });
+        }
+        history.rebuild(up);
+        history
+    }
+
+    #[test]
+    fn four_losses_by_hand() {
+        let h = history(&[10.0, 20.0, 30.0, 40.0], &[]);
+        assert!((h.outlasts(0.0, 25.0) - 0.5).abs() < 1e-9);
+        // Of the three that reach 10, two outlast 25.
+        assert!((h.outlasts(10.0, 15.0) - 2.0 / 3.0).abs() < 1e-9);
+        // Losses at 10 and 20 waste 15 on average.
+        assert!((h.wasted(0.0, 25.0) - 15.0).abs() < 1e-9);
+    }
+
+    #[test]
+    fn edges_give_certainty() {
+        assert_eq!(History::default().outlasts(5.0, 100.0), 1.0);
+        assert_eq!(history(&[10.0], &[]).outlasts(11.0, 5.0), 1.0);
+    }
+
+    #[test]
+    fn machines_still_up_raise_the_odds() {
+        let without = history(&[10.0, 20.0], &[]).outlasts(0.0, 15.0);
+        let with = history(&[10.0, 20.0], &[50.0, 60.0]).outlasts(0.0, 15.0);
+        assert!(with > without);
+    }
+
+    proptest::proptest! {
+        #![proptest_config(proptest::test_runner::Config { rng_seed: proptest::test_runner::RngSeed::Fixed(11), failure_persistence: None, ..Default::default() })]
+        #[test]
+        fn a_chance_is_a_chance_and_falls_with_length(
+            lost in proptest::collection::vec(0.1f64..500.0, 0..300),
+            up in proptest::collection::vec(0.1f64..500.0, 0..40),
+            e in 0.0f64..600.0, d in 0.0f64..300.0, more in 0.0f64..100.0,
+        ) {
+            let h = history(&lost, &up);
+            let p = h.outlasts(e, d);
+            proptest::prop_assert!((0.0..=1.0).contains(&p));
+            proptest::prop_assert!(h.outlasts(e, d + more) <= p + 1e-12);
+            proptest::prop_assert!(h.wasted(e, d) <= d + 1e-9);
+        }
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,6 @@
+//! What is known: durable records, the view of them, and machine lifetimes.
+
+pub mod budget;
+pub mod lifetimes;
+pub mod records;
+pub mod view;
--- /dev/null
+++ b/src/bookkeeping/records.rs
@@ -0,0 +1,256 @@
+//! The durable records, as they stand in the state service.
+
+use crate::protocol::users::JobSpec;
+use crate::units::{Attempt, JobRef, LeaseId, MachineId, NodeName, PartId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Everything the service keeps begins with this.
+pub const ROOT: &str = "t/";
+pub const LEADER_KEY: &str = "t/l";
+pub const CATALOG_KEY: &str = "t/k";
+pub const FLEET_KEY: &str = "t/f";
+
+pub fn node_key(node: &NodeName) -> String {
+    format!("t/n/{node}")
+}
+pub fn owner_key(part: PartId) -> String {
+    format!("t/o/{part}")
+}
+pub fn allowance_key(part: PartId) -> String {
+    format!("t/a/{part}")
+}
+pub fn job_key(job: &JobRef) -> String {
+    format!("t/j/{job}")
+}
+pub fn slice_key(job: &JobRef, slice: usize) -> String {
+    format!("t/s/{job}/{slice}")
+}
+
+/// What a key stands for.
+#[derive(Debug, PartialEq)]
+pub enum Key {
+    Leader,
+    Catalog,
+    Fleet,
+    Node(NodeName),
+    Owner(PartId),
+    Allowance(PartId),
+    Job(JobRef),
+    Slice(JobRef, usize),
+}
+
+impl Key {
+    pub fn read(key: &str) -> Option<Key> {
+        match key {
+            LEADER_KEY => return Some(Key::Leader),
+            CATALOG_KEY => return Some(Key::Catalog),
+            FLEET_KEY => return Some(Key::Fleet),
+            _ => {}
+        }
+        let (family, rest) = key.strip_prefix(ROOT)?.split_once('/')?;
+        Some(match family {
+            "n" => Key::Node(NodeName::new(rest)),
+            "o" => Key::Owner(PartId(rest.parse().ok()?)),
+            "a" => Key::Allowance(PartId(rest.parse().ok()?)),
+            "j" => Key::Job(JobRef::new(rest)),
+            "s" => {
+                let (job, slice) = rest.rsplit_once('/')?;
+                Key::Slice(JobRef::new(job), slice.parse().ok()?)
+            }
+            _ => return None,
+        })
+    }
+}
+
+/// A controller that is alive, and the lease that shows it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    pub lease: LeaseId,
+}
+
+/// Who owns a part, or leads.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HolderRecord {
+    pub node: NodeName,
+    /// The lease that keeps the key; tells a node's lives apart.
+    pub lease: LeaseId,
+}
+
+/// How a job is cut: slices of `size` tasks, each dealt to a part.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    pub size: u32,
+    pub parts: Vec<PartId>,
+}
+
+impl Plan {
+    pub fn slice_of(&self, task: u32) -> (usize, usize) {
+        ((task / self.size.max(1)) as usize, (task % self.size.max(1)) as usize)
+    }
+    pub fn first_task(&self, slice: usize) -> u32 {
+        slice as u32 * self.size
+    }
+    /// Tasks in a slice of a job with `tasks` in all.
+    pub fn len(&self, slice: usize, tasks: u32) -> usize {
+        tasks.saturating_sub(self.first_task(slice)).min(self.size) as usize
+    }
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum End {
+    Done,
+    Cancelled,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub spec: JobSpec,
+    /// Time of day at acceptance in milliseconds; only ever an estimate of age.
+    pub at: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub plan: Option<Plan>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub end: Option<End>,
+}
+
+/// Where one task stands.
+#[derive(Debug, Clone, PartialEq)]
+pub enum TaskRecord {
+    /// On no machine for certain, after so many attempts.
+    Idle(Attempt),
+    /// Possibly on this machine until proof of the contrary.
+    On(Attempt, MachineId),
+    Done,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "PackedSlice", into = "PackedSlice")]
+pub struct SliceRecord {
+    pub tasks: Vec<TaskRecord>,
+}
+
+impl SliceRecord {
+    pub fn fresh(len: usize) -> Self {
+        SliceRecord { tasks: vec![TaskRecord::Idle(Attempt(0)); len] }
+    }
+    pub fn is_done(&self) -> bool {
+        self.tasks.iter().all(|t| *t == TaskRecord::Done)
+    }
+    pub fn any_on(&self) -> bool {
+        self.tasks.iter().any(|t| matches!(t, TaskRecord::On(..)))
+    }
+    pub fn count_done(&self) -> usize {
+        self.tasks.iter().filter(|t| **t == TaskRecord::Done).count()
+    }
+}
+
+/// The packed form: the number of tasks, those done as ranges, and the rest
+/// that were ever tried as `[index, attempt, machine or null]`.
+#[derive(Serialize, Deserialize)]
+struct PackedSlice {
+    n: usize,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    d: Vec<(usize, usize)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    t: Vec<(usize, Attempt, Option<MachineId>)>,
+}
+
+impl From<SliceRecord> for PackedSlice {
+    fn from(slice: SliceRecord) -> Self {
+        let mut packed = PackedSlice { n: slice.tasks.len(), d: vec![], t: vec![] };
+        for (index, task) in slice.tasks.into_iter().enumerate() {
+            match task {
+                TaskRecord::Idle(Attempt(0)) => {}
+                TaskRecord::Idle(attempt) => packed.t.push((index, attempt, None)),
+                TaskRecord::On(attempt, machine) => packed.t.push((index, attempt, Some(machine))),
+                TaskRecord::Done => match packed.d.last_mut() {
+                    Some(range) if range.1 + 1 == index => range.1 = index,
+                    _ => packed.d.push((index, index)),
+                },
+            }
+        }
+        packed
+    }
+}
+
+impl TryFrom<PackedSlice> for SliceRecord {
+    type Error = String;
+    fn try_from(packed: PackedSlice) -> Result<Self, String> {
+        if packed.n > crate::protocol::users::MAX_TASKS as usize {
+            return Err("too many tasks".into());
+        }
+        let mut slice = SliceRecord::fresh(packed.n);
+        for (first, last) in packed.d {
+            let range = slice.tasks.get_mut(first..=last).ok_or("a range out of bounds")?;
+            range.fill(TaskRecord::Done);
+        }
+        for (index, attempt, machine) in packed.t {
+            *slice.tasks.get_mut(index).ok_or("an index out of bounds")? = match machine {
+                Some(machine) => TaskRecord::On(attempt, machine),
+                None => TaskRecord::Idle(attempt),
+            };
+        }
+        Ok(slice)
+    }
+}
+
+/// What a part may use of each team's limit.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct AllowanceRecord {
+    pub teams: BTreeMap<String, (f64, f64)>,
+}
+
+/// What the leader has begun with machines: the last rental request named
+/// (its name holds `rentals`), and machines on their way out or gone.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct FleetRecord {
+    pub rentals: u64,
+    #[serde(default)]
+    pub drain: Vec<MachineId>,
+    #[serde(default)]
+    pub gone: Vec<MachineId>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn task() -> impl Strategy<Value = TaskRecord> {
+        prop_oneof![
+            (0u64..9).prop_map(|a| TaskRecord::Idle(Attempt(a))),
+            (1u64..9, 0u32..999).prop_map(|(a, m)| TaskRecord::On(Attempt(a), MachineId::new(&format!("i-{m:06}")))),
+            Just(TaskRecord::Done),
+        ]
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(12), failure_persistence: None, ..Default::default() })]
+        #[test]
+        fn slices_survive_packing(tasks in proptest::collection::vec(task(), 0..100)) {
+            let slice = SliceRecord { tasks };
+            let text = serde_json::to_string(&slice).unwrap();
+            prop_assert_eq!(serde_json::from_str::<SliceRecord>(&text).unwrap(), slice);
+        }
+
+        #[test]
+        fn garbage_is_refused_without_panic(n in 0usize..200_000, a in any::<usize>(), b in any::<usize>()) {
+            let text = format!(r#"{{"n":{n},"d":[[{a},{b}]],"t":[[{b},1,null]]}}"#);
+            let _ = serde_json::from_str::<SliceRecord>(&text);
+        }
+    }
+
+    #[test]
+    fn keys_read_back() {
+        let job = JobRef::new("wk-000001");
+        assert_eq!(Key::read(&slice_key(&job, 3)), Some(Key::Slice(job.clone(), 3)));
+        assert_eq!(Key::read(&job_key(&job)), Some(Key::Job(job)));
+        assert_eq!(Key::read(&owner_key(PartId(2))), Some(Key::Owner(PartId(2))));
+        assert_eq!(Key::read("elsewhere"), None);
+    }
+}
--- /dev/null
+++ b/src/coordination/buying.rs
@@ -0,0 +1,530 @@
+//! The leader's dealings with the cloud: what to rent, and what to give back.
+
+use super::*;
+use crate::bookkeeping::records::{FleetRecord, TaskRecord, FLEET_KEY, LEADER_KEY};
+use crate::protocol::cloud::{Listed, ListedState, RENT_LIMIT, RETURN_LIMIT};
+use crate::protocol::users::JobKind;
+
+/// Names of returned machines remembered in the record.
+const MOST_GONE: usize = 60;
+
+/// A rental on its way.
+#[derive(Debug, Clone)]
+pub struct Rent {
+    pub request: RentRequest,
+    tries: u32,
+}
+
+/// A machine that is ours, as far as the leader knows.
+#[derive(Debug, Clone)]
+pub struct Owned {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub born: Time,
+    pub up: bool,
+    pub failed: bool,
+    /// The cloud has announced that it takes it.
+    pub leaving: bool,
+    last_listed: Option<Time>,
+    idle_since: Option<Time>,
+    drain_since: Option<Time>,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub machines: BTreeMap<MachineId, Owned>,
+    budget: Option<Budget>,
+    listing: bool,
+    /// A full list was read since this node leads.
+    known: bool,
+    list_at: Time,
+    renting: bool,
+    returning: bool,
+    /// No capacity of a kind, zone and sort until then.
+    refused: BTreeMap<(String, String, bool), (Time, u32)>,
+    /// Returned for certain, but perhaps not in the record yet.
+    gone: BTreeSet<MachineId>,
+}
+
+/// Cores that a group of jobs with the same constraints wants.
+struct Demand {
+    cpus: f64,
+    shape: [f64; 3],
+    types: Option<Vec<String>>,
+    zone: Option<String>,
+    spot: bool,
+}
+
+impl Core {
+    pub(super) fn draining(&self, name: &MachineId) -> bool {
+        let record = self.view.fleet.record.as_ref();
+        record.is_some_and(|r| r.drain.contains(name) || r.gone.contains(name))
+    }
+
+    /// True if the return of the machine was confirmed.
+    pub(super) fn returned(&self, name: &MachineId) -> bool {
+        self.view.fleet.record.as_ref().is_some_and(|r| r.gone.contains(name))
+    }
+
+    pub(super) fn fleet_changed(&mut self) {
+        if let Some(record) = &self.view.fleet.record {
+            for name in &record.gone {
+                self.cloud.machines.remove(name);
+            }
+        }
+    }
+
+    /// Takes from the cloud's rate; the rest is for the next turn.
+    fn afford_cloud(&mut self) -> bool {
+        let rate = self.settings.cluster.cloud.rps * 0.8;
+        let now = self.now;
+        self.cloud.budget.get_or_insert_with(|| Budget::new(rate.max(1.0))).take(now, 1.0)
+    }
+
+    pub(super) fn run_fleet(&mut self) {
+        self.take_gossip();
+        if !self.cloud.listing && self.now.since(self.cloud.list_at) >= Span(2000) && self.afford_cloud() {
+            self.cloud.listing = true;
+            self.cloud.list_at = self.now;
+            self.call_cloud(CloudCall::List { after: None }, Pending::List { seen: vec![] });
+        }
+        if !self.cloud.known || self.catalog.is_empty() {
+            return;
+        }
+        let busy = self.busy_machines();
+        self.note_idle(&busy);
+        let demand = self.demand();
+        if !self.cloud.renting {
+            self.rent_for(&demand);
+        }
+        self.drain_idle(&demand);
+        self.return_drained(&busy);
+    }
+
+    /// What other owners say of their machines.
+    fn take_gossip(&mut self) {
+        let mut up: BTreeSet<MachineId> = BTreeSet::new();
+        let mut leaving: BTreeSet<MachineId> = BTreeSet::new();
+        let mut faulty: BTreeSet<MachineId> = BTreeSet::new();
+        for mine in self.mine.values() {
+            for (name, machine) in &mine.machines {
+                up.insert(name.clone());
+                if machine.notice.is_some() {
+                    leaving.insert(name.clone());
+                }
+                if machine.faulty {
+                    faulty.insert(name.clone());
+                }
+            }
+            for (name, machine) in &mine.machines {
+                if !self.cloud.machines.contains_key(name) && !self.cloud.gone.contains(name) {
+                    let owned = Owned {
+                        kind: machine.kind.clone(),
+                        zone: machine.zone.clone(),
+                        spot: machine.spot,
+                        born: machine.born,
+                        up: true,
+                        failed: false,
+                        leaving: false,
+                        last_listed: None,
+                        idle_since: None,
+                        drain_since: None,
+                    };
+                    self.cloud.machines.insert(name.clone(), owned);
+                }
+            }
+        }
+        for note in self.peers.values().filter_map(|p| p.note.as_ref()) {
+            faulty.extend(note.faulty.iter().map(|n| MachineId::new(n)));
+            for load in &note.parts {
+                leaving.extend(load.leaving.iter().map(|n| MachineId::new(n)));
+            }
+        }
+        for (name, owned) in &mut self.cloud.machines {
+            owned.up |= up.contains(name);
+            owned.leaving |= leaving.contains(name);
+            owned.failed |= faulty.contains(name);
+        }
+    }
+
+    /// Machines that a task may be on.
+    fn busy_machines(&self) -> BTreeSet<MachineId> {
+        let mut busy = BTreeSet::new();
+        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)) {
+            for slice in &job.slices {
+                for record in slice.held.record.iter().chain(slice.want.iter()) {
+                    for task in &record.tasks {
+                        if let TaskRecord::On(_, machine) = task {
+                            busy.insert(machine.clone());
+                        }
+                    }
+                }
+            }
+        }
+        busy
+    }
+
+    fn note_idle(&mut self, busy: &BTreeSet<MachineId>) {
+        for (name, owned) in &mut self.cloud.machines {
+            if busy.contains(name) || !owned.up {
+                owned.idle_since = None;
+            } else {
+                owned.idle_since.get_or_insert(self.now);
+            }
+        }
+    }
+
+    /// Cores wanted: those in use, and for what waits as many as finish it in
+    /// the time it has, in waves where there is time for several.
+    fn demand(&self) -> Vec<Demand> {
+        let boot = self.catalog.values().map(|t| t.boot_s).fold(0.0, f64::max);
+        let mut groups: BTreeMap<(bool, Option<Vec<String>>, Option<String>, bool), Demand> = BTreeMap::new();
+        for id in &self.view.active {
+            let Some(job) = self.view.jobs.get(id) else { continue };
+            let spec = &job.record.spec;
+            let (done, on) = job.counts();
+            let waiting = if job.record.end.is_some() { 0 } else { spec.tasks.saturating_sub(done + on) };
+            let run = self.learned.run_time(&spec.class, spec.estimate_s).max(1.0);
+            let left = self.allowed_s(job) - self.age_s(job) - boot * 0.5;
+            let waves = if spec.kind == JobKind::Array { (left / (run + 3.0)).floor().clamp(1.0, 6.0) } else { 1.0 };
+            let team = self.settings.cluster.teams.iter().find(|t| t.name == spec.team);
+            let cap = team.map_or(0.0, |t| t.cpus_max);
+            let mut cpus = f64::from(on) * spec.cpus + f64::from(waiting) * spec.cpus / waves;
+            if cap > 0.0 {
+                cpus = cpus.min(cap);
+            }
+            let key = (spec.gpus > 0.0, spec.types.clone(), spec.zone.clone(), spec.spot);
+            let group = groups.entry(key).or_insert(Demand {
+                cpus: 0.0,
+                shape: [0.0; 3],
+                types: spec.types.clone(),
+                zone: spec.zone.clone(),
+                spot: spec.spot,
+            });
+            group.cpus += cpus;
+            for (most, need) in group.shape.iter_mut().zip([spec.cpus, spec.gpus, spec.mem_gb]) {
+                *most = most.max(need);
+            }
+        }
+        let mut demand: Vec<Demand> = groups.into_values().filter(|d| d.cpus > 0.0).collect();
+        // The most constrained first: they take the machines that suit them.
+        demand.sort_by_key(|d| (d.types.is_none(), d.zone.is_none(), d.spot));
+        demand
+    }
+
+    fn suits(&self, demand: &Demand, kind: &str, zone: &str, spot: bool) -> bool {
+        let big_enough = self.catalog.get(kind).is_some_and(|t| {
+            t.cpus + 1e-6 >= demand.shape[0] && t.gpus + 1e-6 >= demand.shape[1] && t.mem_gb + 1e-6 >= demand.shape[2]
+        });
+        big_enough
+            && demand.types.as_ref().is_none_or(|types| types.iter().any(|t| t == kind))
+            && demand.zone.as_ref().is_none_or(|z| z == zone)
+            && (demand.spot || !spot)
+    }
+
+    /// Cores missing per group, after each took what suits it, and cores spare.
+    fn missing(&self, demand: &[Demand]) -> (Vec<f64>, BTreeMap<MachineId, f64>) {
+        let mut left: BTreeMap<MachineId, f64> = self
+            .cloud
+            .machines
+            .iter()
+            .filter(|(name, m)| !m.failed && !m.leaving && !self.draining(name))
+            .filter_map(|(name, m)| Some((name.clone(), self.catalog.get(&m.kind)?.cpus)))
+            .collect();
+        let mut lacks = vec![];
+        for group in demand {
+            let mut lack = group.cpus * 1.05;
+            for (name, cpus) in &mut left {
+                let m = &self.cloud.machines[name];
+                if lack > 0.0 && self.suits(group, &m.kind, &m.zone, m.spot) {
+                    let take = cpus.min(lack);
+                    *cpus -= take;
+                    lack -= take;
+                }
+            }
+            lacks.push(lack.max(0.0));
+        }
+        (lacks, left)
+    }
+
+    fn rent_for(&mut self, demand: &[Demand]) {
+        let (lacks, _) = self.missing(demand);
+        for (group, lack) in demand.iter().zip(lacks) {
+            if lack < 0.5 {
+                continue;
+            }
+            let mut best: Option<(f64, RentRequest)> = None;
+            for t in self.catalog.values() {
+                for zone in &t.zones {
+                    for spot in [true, false] {
+                        if !self.suits(group, &t.name, zone, spot) || (spot && t.spot_price.is_none()) {
+                            continue;
+                        }
+                        let slot = (t.name.clone(), zone.clone(), spot);
+                        if self.cloud.refused.get(&slot).is_some_and(|r| self.now < r.0) {
+                            continue;
+                        }
+                        let price = if spot { t.spot_price.unwrap_or(t.price) } else { t.price };
+                        // Cores that memory lets the tasks use.
+                        let each = (t.cpus / group.shape[0].max(1e-3)).min(t.mem_gb / group.shape[2].max(1e-3));
+                        let useful = (each.floor() * group.shape[0]).clamp(t.cpus * 0.3, t.cpus);
+                        let count = (lack / useful).ceil().clamp(1.0, f64::from(RENT_LIMIT));
+                        let cost = count * price / (count * useful).min(lack);
+                        if best.as_ref().is_none_or(|b| cost < b.0) {
+                            let request = RentRequest {
+                                request: String::new(),
+                                kind: t.name.clone(),
+                                zone: zone.clone(),
+                                spot,
+                                count: count as u32,
+                            };
+                            best = Some((cost, request));
+                        }
+                    }
+                }
+            }
+            if let Some((_, request)) = best {
+                return self.name_rental(request);
+            }
+        }
+    }
+
+    /// Makes the rental's name durable before it is used; the count behind
+    /// names only rises, so that none is ever used again.
+    fn name_rental(&mut self, mut request: RentRequest) {
+        if self.busy_keys.contains(FLEET_KEY) {
+            return;
+        }
+        let mut record = self.view.fleet.record.clone().unwrap_or_default();
+        record.rentals += 1;
+        request.request = format!("r-{}", record.rentals);
+        let Some(txn) = self.fleet_txn(&record) else { return };
+        self.reads.force(self.now, 1.0);
+        self.writes.force(self.now, 1.0);
+        self.busy_keys.insert(FLEET_KEY.into());
+        self.cloud.renting = true;
+        let rent = Rent { request, tries: 3 };
+        self.call_state(StateCall::Txn(txn.clone()), Pending::RentName { rent, txn });
+    }
+
+    fn fleet_txn(&self, record: &FleetRecord) -> Option<Txn> {
+        let conditions = vec![
+            Condition { key: LEADER_KEY.into(), version: self.view.leader.version },
+            Condition { key: FLEET_KEY.into(), version: self.view.fleet.version },
+        ];
+        let value = serde_json::to_value(record).ok()?;
+        Some(Txn { conditions, changes: vec![Change::put(FLEET_KEY.into(), value)] })
+    }
+
+    pub(super) fn rent_named(&mut self, rent: Rent, txn: Txn, answer: StateAnswer) {
+        self.busy_keys.remove(FLEET_KEY);
+        match answer {
+            StateAnswer::Committed(revision) => {
+                self.committed(&txn, revision);
+                self.call_cloud(CloudCall::Rent(rent.request.clone()), Pending::Rent(rent));
+            }
+            StateAnswer::Conflict(failed) => {
+                self.cloud.renting = false;
+                self.reread(failed, None);
+            }
+            _ => self.cloud.renting = false,
+        }
+    }
+
+    pub(super) fn cloud_answer(&mut self, id: CallId, answer: CloudAnswer) {
+        let Some(Call { what, .. }) = self.calls.remove(&id) else { return };
+        match (what, answer) {
+            (Pending::Catalog, CloudAnswer::Catalog(catalog)) => self.take_catalog(catalog),
+            (Pending::List { seen }, answer) => self.list_answer(seen, answer),
+            (Pending::Rent(rent), answer) => self.rent_answer(rent, answer),
+            (Pending::Return(names), answer) => {
+                self.cloud.returning = false;
+                if matches!(answer, CloudAnswer::Returned) {
+                    for name in names {
+                        self.cloud.machines.remove(&name);
+                        self.cloud.gone.insert(name);
+                    }
+                    self.write_fleet();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn rent_answer(&mut self, rent: Rent, answer: CloudAnswer) {
+        self.cloud.renting = false;
+        let RentRequest { kind, zone, spot, count, .. } = rent.request.clone();
+        let slot = (kind.clone(), zone.clone(), spot);
+        match answer {
+            CloudAnswer::Rented(names) => {
+                tracing::info!("rented {} of {count} {kind} in {zone}, spot: {spot}", names.machines.len());
+                if (names.machines.len() as u32) < count {
+                    self.cloud.refused.insert(slot, (self.now + Span(10_000), 0));
+                } else {
+                    self.cloud.refused.remove(&slot);
+                }
+                for name in names.machines {
+                    let owned = self.owned(&kind, &zone, spot, self.now);
+                    self.cloud.machines.entry(name).or_insert(owned);
+                }
+            }
+            CloudAnswer::NoCapacity => {
+                let times = self.cloud.refused.get(&slot).map_or(0, |r| r.1) + 1;
+                let pause = Span::secs((5.0 * 2f64.powi(times.min(4) as i32 - 1)).min(40.0));
+                self.cloud.refused.insert(slot, (self.now + pause, times));
+            }
+            // Perhaps carried out: the same name asks for the same machines.
+            _ if rent.tries > 0 && self.leading() => {
+                self.cloud.renting = true;
+                let again = Rent { tries: rent.tries - 1, ..rent };
+                self.call_cloud(CloudCall::Rent(again.request.clone()), Pending::Rent(again));
+            }
+            _ => {
+                self.cloud.refused.insert(slot, (self.now + Span(3000), 0));
+            }
+        }
+    }
+
+    fn owned(&self, kind: &str, zone: &str, spot: bool, born: Time) -> Owned {
+        Owned {
+            kind: kind.into(),
+            zone: zone.into(),
+            spot,
+            born,
+            up: false,
+            failed: false,
+            leaving: false,
+            last_listed: None,
+            idle_since: None,
+            drain_since: None,
+        }
+    }
+
+    fn list_answer(&mut self, mut seen: Vec<Listed>, answer: CloudAnswer) {
+        let CloudAnswer::Page(page) = answer else {
+            self.cloud.listing = false;
+            return;
+        };
+        seen.extend(page.machines);
+        if let (true, Some(last)) = (page.more, seen.last()) {
+            let call = CloudCall::List { after: Some(last.machine.clone()) };
+            return self.call_cloud(call, Pending::List { seen });
+        }
+        self.cloud.listing = false;
+        self.cloud.known = true;
+        for listed in seen {
+            if self.cloud.gone.contains(&listed.machine) || self.returned(&listed.machine) {
+                continue;
+            }
+            let owned = self.owned(&listed.kind, &listed.zone, listed.spot, self.now - Span::secs(listed.age_s));
+            let owned = self.cloud.machines.entry(listed.machine).or_insert(owned);
+            owned.up |= listed.state == ListedState::Running;
+            owned.failed |= listed.state == ListedState::Failed;
+            owned.last_listed = Some(self.now);
+        }
+        // The list lags, and may be older than the one before it: only what
+        // is missing for long is gone.
+        let patience = Span::secs(self.settings.cluster.cloud.list_lag_s * 2.5 + 5.0);
+        let now = self.now;
+        self.cloud.machines.retain(|_, m| now.since(m.last_listed.unwrap_or(m.born)) < patience);
+    }
+
+    /// Marks for return what is idle beyond need, failed or never came up.
+    fn drain_idle(&mut self, demand: &[Demand]) {
+        if self.busy_keys.contains(FLEET_KEY) {
+            return;
+        }
+        let (lacks, spare) = self.missing(demand);
+        let lacking = lacks.iter().any(|l| *l > 0.5);
+        let idle_for = Span::secs(self.tuning.idle_s);
+        let mut surplus: f64 = spare.values().sum();
+        let mut drain = vec![];
+        let mut order: Vec<(&MachineId, &Owned)> = self.cloud.machines.iter().collect();
+        let price = |m: &Owned| {
+            self.catalog.get(&m.kind).map_or(0.0, |t| if m.spot { t.spot_price.unwrap_or(t.price) } else { t.price } / t.cpus)
+        };
+        order.sort_by(|a, b| price(b.1).total_cmp(&price(a.1)));
+        for (name, owned) in order {
+            if self.draining(name) {
+                continue;
+            }
+            let Some(t) = self.catalog.get(&owned.kind) else { continue };
+            let stuck = !owned.up && self.now.since(owned.born) > Span::secs(t.boot_s * 3.0 + 10.0);
+            let idle = owned.idle_since.is_some_and(|at| self.now.since(at) >= idle_for);
+            let unneeded = idle && !lacking && surplus >= t.cpus;
+            if owned.failed || stuck || unneeded {
+                if unneeded {
+                    surplus -= t.cpus;
+                }
+                drain.push(name.clone());
+            }
+        }
+        if drain.is_empty() {
+            return;
+        }
+        for name in drain {
+            if let Some(owned) = self.cloud.machines.get_mut(&name) {
+                owned.drain_since = Some(self.now);
+            }
+        }
+        self.write_fleet();
+    }
+
+    /// Writes which machines are on their way out, and which are gone.
+    fn write_fleet(&mut self) {
+        if self.busy_keys.contains(FLEET_KEY) || !self.leading() {
+            return;
+        }
+        let mut record = self.view.fleet.record.clone().unwrap_or_default();
+        let before = record.clone();
+        for (name, owned) in &self.cloud.machines {
+            if owned.drain_since.is_some() && !record.drain.contains(name) {
+                record.drain.push(name.clone());
+            }
+        }
+        for name in &self.cloud.gone {
+            record.drain.retain(|n| n != name);
+            if !record.gone.contains(name) {
+                record.gone.push(name.clone());
+            }
+        }
+        // Drained machines that ended otherwise need not be remembered.
+        if self.cloud.known {
+            record.drain.retain(|n| self.cloud.machines.contains_key(n));
+        }
+        let over = record.gone.len().saturating_sub(MOST_GONE);
+        record.gone.drain(..over);
+        while self.cloud.gone.len() > MOST_GONE / 2 {
+            self.cloud.gone.pop_first();
+        }
+        if record != before {
+            if let Some(txn) = self.fleet_txn(&record) {
+                self.simple_txn(txn);
+            }
+        }
+    }
+
+    /// Returns machines that were marked long enough for their owners to know
+    /// and that nothing is on, or that failed.
+    fn return_drained(&mut self, busy: &BTreeSet<MachineId>) {
+        self.write_fleet();
+        if self.cloud.returning {
+            return;
+        }
+        let Some(record) = &self.view.fleet.record else { return };
+        let mut names = vec![];
+        for name in record.drain.iter().filter(|n| !record.gone.contains(n)) {
+            let Some(owned) = self.cloud.machines.get_mut(name) else { continue };
+            let since = *owned.drain_since.get_or_insert(self.now);
+            if self.now.since(since) >= Span(2000) && !busy.contains(name) {
+                names.push(name.clone());
+            }
+        }
+        names.truncate(RETURN_LIMIT);
+        if !names.is_empty() && self.afford_cloud() {
+            self.cloud.returning = true;
+            self.call_cloud(CloudCall::Return(names.clone()), Pending::Return(names));
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,497 @@
+//! The core: a state machine without I/O, clocks or randomness. Inputs and
+//! the time go in; what to send, write and answer comes out.
+
+mod buying;
+mod leading;
+mod membership;
+mod part;
+mod rounds;
+pub mod scoring;
+mod users;
+mod workers;
+
+use crate::bookkeeping::budget::Budget;
+use crate::bookkeeping::records;
+use crate::bookkeeping::view::{Changed, View};
+use crate::protocol::cloud::{Catalog, MachineNames, MachinePage, MachineType, RentRequest};
+use crate::protocol::peer::Note;
+use crate::protocol::state::{Change, Condition, StateAnswer, StateCall, Txn};
+use crate::protocol::users::JobSpec;
+use crate::protocol::workers::{Command, Report};
+use crate::settings::{Settings, Tuning};
+use crate::units::{CallId, JobRef, LeaseId, MachineId, NodeName, PartId, RequestId, Revision, Span, Time, Token};
+use part::Mine;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a user asks.
+#[derive(Debug, Clone)]
+pub enum Ask {
+    Submit(Box<JobSpec>),
+    Query(JobRef),
+    Cancel(JobRef),
+    Up,
+}
+
+#[derive(Debug, Clone)]
+pub enum CloudCall {
+    Catalog,
+    List { after: Option<MachineId> },
+    Rent(RentRequest),
+    Return(Vec<MachineId>),
+}
+
+#[derive(Debug, Clone)]
+pub enum CloudAnswer {
+    Catalog(Catalog),
+    Page(MachinePage),
+    Rented(MachineNames),
+    NoCapacity,
+    Returned,
+    /// Refused, or no answer: it may be carried out late.
+    Failed,
+}
+
+#[derive(Debug)]
+pub enum Input {
+    Tick,
+    User(RequestId, Ask),
+    Report(RequestId, Report),
+    State(CallId, StateAnswer),
+    Cloud(CallId, CloudAnswer),
+    Note(Note),
+}
+
+/// The answer to a user.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Reply {
+    Job { status: u16, id: JobRef, state: crate::protocol::users::JobState, counts: Option<(u32, u32)> },
+    Problem { status: u16, reason: String, retry_after_s: Option<u32> },
+    Up,
+    /// Commands for a worker.
+    Commands { token: Token, commands: Vec<Command> },
+    /// The worker should report to this node, or look on.
+    Elsewhere(Option<NodeName>),
+}
+
+impl Reply {
+    fn problem(status: u16, reason: &str) -> Reply {
+        Reply::Problem { status, reason: reason.into(), retry_after_s: None }
+    }
+    fn later(reason: &str) -> Reply {
+        Reply::Problem { status: 503, reason: reason.into(), retry_after_s: Some(1) }
+    }
+}
+
+#[derive(Debug)]
+pub enum Output {
+    Reply(RequestId, Reply),
+    State(CallId, StateCall),
+    Cloud(CallId, CloudCall),
+    /// To all other controllers.
+    Tell(Note),
+}
+
+/// Lengths of time that the rules rest on, derived from the settings.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// How long a controller's lease lasts unrenewed.
+    pub ttl: Span,
+    pub renew_every: Span,
+    /// A worker's lease, with room for drifting clocks.
+    pub worker_lease: Span,
+    /// How long an owner cut off from the state service may go on answering
+    /// workers. Their leases then run out before a cancellation it cannot
+    /// have heard of is due: horizon + lease + margin <= cancel.
+    pub horizon: Span,
+    /// How old the last read may be for starts to be sent.
+    pub fresh: Span,
+}
+
+impl Timing {
+    fn of(settings: &Settings) -> Timing {
+        const DRIFT: f64 = 1.0 + 2.0 * 0.0005;
+        let w = &settings.cluster.workers;
+        let margin = (w.report_s + 0.5).min(w.cancel_s / 8.0);
+        let worker_lease = w.lease_s * DRIFT + 0.2;
+        Timing {
+            ttl: Span::secs((w.lease_s * 0.4).clamp(1.0, 60.0)),
+            renew_every: Span::secs((w.lease_s * 0.1).clamp(0.25, 15.0)),
+            worker_lease: Span::secs(worker_lease),
+            horizon: Span::secs(((w.cancel_s - margin) / DRIFT - worker_lease).max(0.0)),
+            fresh: Span::secs((w.lease_s * 0.3).max(1.0)),
+        }
+    }
+}
+
+/// What a call's answer will be used for.
+#[derive(Debug)]
+enum Pending {
+    Load { seen: BTreeSet<String>, first: Option<Revision> },
+    Watch,
+    Grant,
+    Renew(LeaseId),
+    /// A transaction whose outcome the watch or a conflict read shows.
+    Simple(Txn),
+    PartTxn { part: PartId, txn: Txn },
+    /// Reads a key that a conflict named.
+    Reread { key: String, part: Option<PartId> },
+    SubmitWrite { request: RequestId, txn: Txn, spec: Box<JobSpec> },
+    SubmitRead { request: RequestId, fresh: bool },
+    Query { request: RequestId, job: JobRef },
+    CancelRead { request: RequestId, job: JobRef, tries: u32 },
+    CancelWrite { request: RequestId, job: JobRef, txn: Txn, tries: u32 },
+    RentName { rent: buying::Rent, txn: Txn },
+    Rent(buying::Rent),
+    Return(Vec<MachineId>),
+    List { seen: Vec<crate::protocol::cloud::Listed> },
+    Catalog,
+}
+
+#[derive(Debug)]
+struct Call {
+    what: Pending,
+    sent: Time,
+}
+
+/// What another controller told last.
+#[derive(Debug, Default)]
+struct PeerState {
+    heard: Option<Time>,
+    state_reachable: bool,
+    note: Option<Note>,
+}
+
+pub struct Core {
+    settings: Settings,
+    tuning: Tuning,
+    timing: Timing,
+    me: NodeName,
+    parts: u32,
+    now: Time,
+    wall_ms: u64,
+    out: Vec<Output>,
+    last_call: u64,
+    calls: BTreeMap<CallId, Call>,
+    view: View,
+    loaded: bool,
+    loading: bool,
+    watching: bool,
+    next_watch: Time,
+    retry_state_at: Time,
+    /// When the newest successful read of all records was sent.
+    last_read: Option<Time>,
+    last_state_answer: Option<Time>,
+    reads: Budget,
+    writes: Budget,
+    lease: Option<LeaseId>,
+    granting: bool,
+    renewing: bool,
+    renew_at: Time,
+    /// Keys with a simple transaction on its way.
+    busy_keys: BTreeSet<String>,
+    mine: BTreeMap<PartId, Mine>,
+    target_since: BTreeMap<PartId, (NodeName, Time)>,
+    finish: BTreeSet<JobRef>,
+    peers: BTreeMap<NodeName, PeerState>,
+    next_note: Time,
+    next_round: Time,
+    next_housekeeping: Time,
+    catalog: BTreeMap<String, MachineType>,
+    catalog_at: Option<Time>,
+    cloud: buying::Fleet,
+    learned: rounds::Learned,
+}
+
+impl Core {
+    pub fn new(settings: Settings, tuning: Tuning) -> Core {
+        let names = settings.node_names();
+        let share = names.len().max(1) as f64;
+        let state = &settings.cluster.state;
+        Core {
+            me: NodeName::new(&settings.node),
+            parts: names.len() as u32,
+            timing: Timing::of(&settings),
+            reads: Budget::new(state.rps * 0.9 / share),
+            writes: Budget::new((state.write_rps * 0.9 / share).max(1.0)),
+            peers: settings.peers.iter().map(|p| (NodeName::new(&p.node), PeerState::default())).collect(),
+            settings,
+            tuning,
+            now: Time(0),
+            wall_ms: 0,
+            out: vec![],
+            last_call: 0,
+            calls: BTreeMap::new(),
+            view: View::default(),
+            loaded: false,
+            loading: false,
+            watching: false,
+            next_watch: Time(0),
+            retry_state_at: Time(0),
+            last_read: None,
+            last_state_answer: None,
+            lease: None,
+            granting: false,
+            renewing: false,
+            renew_at: Time(0),
+            busy_keys: BTreeSet::new(),
+            mine: BTreeMap::new(),
+            target_since: BTreeMap::new(),
+            finish: BTreeSet::new(),
+            next_note: Time(0),
+            next_round: Time(0),
+            next_housekeeping: Time(0),
+            catalog: BTreeMap::new(),
+            catalog_at: None,
+            cloud: buying::Fleet::default(),
+            learned: rounds::Learned::default(),
+        }
+    }
+
+    /// Takes one input at a time of this node's steady clock, with the time
+    /// of day for estimates of age, and returns what is to be done.
+    pub fn handle(&mut self, now: Time, wall_ms: u64, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        self.wall_ms = wall_ms;
+        match input {
+            Input::Tick => self.tick(),
+            Input::User(request, ask) => self.user(request, ask),
+            Input::Report(request, report) => self.report(request, report),
+            Input::State(call, answer) => self.state_answer(call, answer),
+            Input::Cloud(call, answer) => self.cloud_answer(call, answer),
+            Input::Note(note) => self.note(note),
+        }
+        self.flush_all();
+        std::mem::take(&mut self.out)
+    }
+
+    /// How long the caller may wait before the next tick.
+    pub fn next_tick(&self) -> Span {
+        Span(50)
+    }
+
+    fn tick(&mut self) {
+        self.tick_membership();
+        if self.now >= self.next_housekeeping {
+            self.next_housekeeping = self.now + Span(500);
+            self.housekeeping();
+        }
+        if self.now >= self.next_round {
+            self.next_round = self.now + Span(self.tuning.round_ms);
+            self.rounds();
+        }
+        if self.now >= self.next_note {
+            self.next_note = self.now + Span(1000);
+            self.tell();
+        }
+    }
+
+    fn housekeeping(&mut self) {
+        self.refresh_catalog();
+        self.expire_machines();
+        self.lead();
+        self.share_allowances();
+        self.finish_jobs();
+    }
+
+    fn reply(&mut self, request: RequestId, reply: Reply) {
+        self.out.push(Output::Reply(request, reply));
+    }
+
+    fn call_state(&mut self, call: StateCall, what: Pending) {
+        let id = self.new_call(what);
+        self.out.push(Output::State(id, call));
+    }
+
+    fn call_cloud(&mut self, call: CloudCall, what: Pending) {
+        let id = self.new_call(what);
+        self.out.push(Output::Cloud(id, call));
+    }
+
+    fn new_call(&mut self, what: Pending) -> CallId {
+        self.last_call += 1;
+        let id = CallId(self.last_call);
+        self.calls.insert(id, Call { what, sent: self.now });
+        id
+    }
+
+    /// A transaction on keys that nobody else in this node is changing.
+    fn simple_txn(&mut self, txn: Txn) {
+        let cost = txn.changes.len() as f64;
+        self.reads.force(self.now, 1.0);
+        self.writes.force(self.now, cost);
+        for change in &txn.changes {
+            self.busy_keys.insert(change_key(change).to_string());
+        }
+        self.call_state(StateCall::Txn(txn.clone()), Pending::Simple(txn));
+    }
+
+    fn state_answer(&mut self, id: CallId, answer: StateAnswer) {
+        let Some(Call { what, sent }) = self.calls.remove(&id) else { return };
+        if !matches!(answer, StateAnswer::Unknown | StateAnswer::Refused) {
+            self.last_state_answer = Some(self.now);
+        }
+        if let StateAnswer::Rejected(why) = &answer {
+            tracing::error!("the state service rejects {what:?}: {why}");
+        }
+        match what {
+            Pending::Load { seen, first } => self.load_answer(seen, first, sent, answer),
+            Pending::Watch => self.watch_answer(sent, answer),
+            Pending::Grant => self.grant_answer(answer),
+            Pending::Renew(lease) => self.renew_answer(lease, answer),
+            // A gift of allowance counts as given until it is known not to be:
+            // carried out late, it would otherwise be used twice.
+            Pending::Simple(txn) if matches!(answer, StateAnswer::Unknown) && is_gift(&txn) => {
+                self.call_state(StateCall::Txn(txn.clone()), Pending::Simple(txn));
+            }
+            Pending::Simple(txn) => {
+                if is_gift(&txn) && !matches!(answer, StateAnswer::Conflict(_)) {
+                    let parts = txn.changes.iter().filter_map(|c| match records::Key::read(change_key(c)) {
+                        Some(records::Key::Allowance(part)) => Some(part),
+                        _ => None,
+                    });
+                    let parts: Vec<PartId> = parts.collect();
+                    if let StateAnswer::Committed(revision) = answer {
+                        self.committed(&txn, revision);
+                    }
+                    self.end_gifts(&parts);
+                }
+                for change in &txn.changes {
+                    self.busy_keys.remove(change_key(change));
+                }
+                match answer {
+                    StateAnswer::Committed(revision) => self.committed(&txn, revision),
+                    StateAnswer::Conflict(failed) if is_gift(&txn) => {
+                        let keys = txn.conditions.iter().map(|c| c.key.clone()).collect();
+                        drop(failed);
+                        self.reread(keys, None);
+                    }
+                    StateAnswer::Conflict(failed) => self.reread(failed, None),
+                    StateAnswer::LeaseGone => self.lease_gone_elsewhere(&txn),
+                    _ => {}
+                }
+            }
+            Pending::PartTxn { part, txn } => self.part_txn_answer(part, txn, answer),
+            Pending::Reread { key, part } => self.reread_answer(key, part, answer),
+            Pending::SubmitWrite { request, txn, spec } => self.submit_written(request, txn, spec, answer),
+            Pending::SubmitRead { request, fresh } => self.submit_read(request, fresh, answer),
+            Pending::Query { request, job } => self.query_answer(request, job, answer),
+            Pending::CancelRead { request, job, tries } => self.cancel_read(request, job, tries, answer),
+            Pending::CancelWrite { request, job, txn, tries } => self.cancel_written(request, job, txn, tries, answer),
+            Pending::RentName { rent, txn } => self.rent_named(rent, txn, answer),
+            Pending::Rent(_) | Pending::Return(_) | Pending::List { .. } | Pending::Catalog => {}
+        }
+    }
+
+    /// Takes a committed transaction's changes into the view.
+    fn committed(&mut self, txn: &Txn, revision: Revision) {
+        for change in &txn.changes {
+            let changed = match change {
+                Change::Put { put, value, .. } => self.view.apply(put, Some(value.clone()), revision),
+                Change::Delete { delete } => self.view.apply(delete, None, revision),
+            };
+            self.changed(changed);
+        }
+    }
+
+    fn reread(&mut self, keys: Vec<String>, part: Option<PartId>) {
+        for key in keys {
+            self.reads.force(self.now, 1.0);
+            self.call_state(StateCall::Get { key: key.clone() }, Pending::Reread { key, part });
+        }
+    }
+
+    fn reread_answer(&mut self, key: String, part: Option<PartId>, answer: StateAnswer) {
+        if let (Some(records::Key::Allowance(part)), true) =
+            (records::Key::read(&key), matches!(answer, StateAnswer::Unknown | StateAnswer::Refused))
+        {
+            // What became of a gift must be known before allowance is used again.
+            return self.call_state(StateCall::Get { key: key.clone() }, Pending::Reread { key, part: Some(part) });
+        }
+        let changed = match answer {
+            StateAnswer::Found(item) => self.view.apply(&key, Some(item.value), item.version),
+            StateAnswer::Missing(at) => self.view.apply(&key, None, at),
+            _ => Changed::Nothing,
+        };
+        self.changed(changed);
+        if let Some(records::Key::Allowance(part)) = records::Key::read(&key) {
+            self.end_gifts(&[part]);
+        }
+        if let Some(mine) = part.and_then(|p| self.mine.get_mut(&p)) {
+            mine.rereads = mine.rereads.saturating_sub(1);
+        }
+    }
+
+    /// The outcome of gifts from or to these parts is in the view.
+    fn end_gifts(&mut self, parts: &[PartId]) {
+        for part in parts {
+            if let Some(mine) = self.mine.get_mut(part) {
+                mine.giving = None;
+            }
+        }
+    }
+
+    /// Acts on news in the view.
+    fn changed(&mut self, what: Changed) {
+        match what {
+            Changed::Owner(part) => self.owner_changed(part),
+            Changed::Job(job) => self.job_changed(&job),
+            Changed::Slice(job, slice) => self.slice_changed(&job, slice),
+            Changed::Fleet => self.fleet_changed(),
+            Changed::Other => self.catalog_changed(),
+            Changed::Leader | Changed::Node | Changed::Nothing => {}
+        }
+    }
+
+    /// True if the records were read lately enough to start new work on them.
+    fn state_fresh(&self) -> bool {
+        self.last_read.is_some_and(|at| self.now.since(at) <= self.timing.fresh)
+    }
+
+    fn refresh_catalog(&mut self) {
+        let known = !self.catalog.is_empty();
+        if known && !self.leading() {
+            return;
+        }
+        let pause = if known { 15.0 } else { 1.0 };
+        if self.catalog_at.is_none_or(|at| self.now.since(at) >= Span::secs(pause)) {
+            self.catalog_at = Some(self.now);
+            self.call_cloud(CloudCall::Catalog, Pending::Catalog);
+        }
+    }
+
+    /// A catalog from the cloud; the leader keeps its lasting parts in the
+    /// state service, so that a node that starts in a cloud outage knows them.
+    fn take_catalog(&mut self, catalog: Catalog) {
+        self.catalog = catalog.types.iter().map(|t| (t.name.clone(), t.clone())).collect();
+        let same = self.view.catalog.record.as_ref().is_some_and(|old| {
+            let lasting = |c: &Catalog| {
+                c.types.iter().map(|t| (t.name.clone(), t.cpus, t.gpus, t.mem_gb, t.zones.clone())).collect::<Vec<_>>()
+            };
+            lasting(old) == lasting(&catalog)
+        });
+        if same || !self.leading() || self.busy_keys.contains(records::CATALOG_KEY) {
+            return;
+        }
+        let Ok(value) = serde_json::to_value(&catalog) else { return };
+        let conditions = vec![Condition { key: records::CATALOG_KEY.into(), version: self.view.catalog.version }];
+        self.simple_txn(Txn { conditions, changes: vec![Change::put(records::CATALOG_KEY.into(), value)] });
+    }
+
+    fn catalog_changed(&mut self) {
+        if let (true, Some(stored)) = (self.catalog.is_empty(), &self.view.catalog.record) {
+            self.catalog = stored.types.iter().map(|t| (t.name.clone(), t.clone())).collect();
+        }
+    }
+}
+
+/// True if a transaction moves allowance between parts.
+fn is_gift(txn: &Txn) -> bool {
+    txn.changes.iter().any(|c| matches!(records::Key::read(change_key(c)), Some(records::Key::Allowance(_))))
+}
+
+fn change_key(change: &Change) -> &str {
+    match change {
+        Change::Put { put, .. } => put,
+        Change::Delete { delete } => delete,
+    }
+}
--- /dev/null
+++ b/src/coordination/rounds.rs
@@ -0,0 +1,503 @@
+//! Placement rounds: each waiting task goes where its expected completion is
+//! least, which may mean waiting for a busy machine.
+
+use super::part::{Machine, Mine, TaskKey};
+use super::scoring::{expected_completion, remaining, Prospect};
+use super::*;
+use crate::bookkeeping::lifetimes::{History, Life};
+use crate::bookkeeping::records::{JobRecord, TaskRecord};
+use crate::bookkeeping::view::Job;
+use crate::protocol::users::{JobKind, Priority};
+use crate::protocol::workers::TaskState;
+use crate::units::Attempt;
+
+/// Tasks of one job that a round looks at to find that they wait.
+const MOST_WAITS: usize = 32;
+
+/// Kind, spot and zone: machines that share a history.
+type Family = (String, bool, String);
+
+/// What experience teaches: lifetimes, run times against estimates, and jobs
+/// that fail wherever they run.
+#[derive(Debug, Default)]
+pub struct Learned {
+    histories: BTreeMap<Family, History>,
+    /// Per class: mean logarithm of actual over estimated run time, and weight.
+    ratios: BTreeMap<String, (f64, f64)>,
+    /// Per job: machines it failed on lately, and when it may be tried again.
+    failing: BTreeMap<JobRef, (BTreeSet<MachineId>, Time)>,
+}
+
+impl Learned {
+    pub fn machine_gone(&mut self, machine: &Machine, now: Time, lost: bool) {
+        let family = (machine.kind.clone(), machine.spot, machine.zone.clone());
+        let age_s = now.since(machine.born).as_secs();
+        self.histories.entry(family).or_default().add(Life { age_s, lost });
+    }
+
+    /// A job that failed on several machines is held back, longer each time.
+    pub fn job_failed(&mut self, job: &JobRef, machine: &MachineId, now: Time) {
+        let entry = self.failing.entry(job.clone()).or_insert_with(|| (BTreeSet::new(), now));
+        entry.0.insert(machine.clone());
+        let machines = entry.0.len() as u32;
+        if machines >= 3 {
+            entry.1 = now + Span::secs(f64::from(2u32.pow(machines.min(6))));
+        }
+    }
+
+    fn held_back(&self, job: &JobRef, now: Time) -> bool {
+        self.failing.get(job).is_some_and(|f| now < f.1)
+    }
+
+    pub fn learn_ratio(&mut self, class: &str, ratio: f64) {
+        let entry = self.ratios.entry(class.to_string()).or_insert((0.0, 3.0));
+        entry.0 = (entry.0 * entry.1 + ratio.clamp(0.1, 10.0).ln()) / (entry.1 + 1.0);
+        entry.1 = (entry.1 + 1.0).min(100.0);
+    }
+
+    /// The owner's estimate, corrected by what its class has shown.
+    pub fn run_time(&self, class: &str, estimate_s: f64) -> f64 {
+        estimate_s * self.ratios.get(class).map_or(1.0, |r| r.0.exp())
+    }
+}
+
+/// A machine as one round sees it.
+struct Seat<'a> {
+    name: &'a MachineId,
+    machine: &'a Machine,
+    type_: &'a MachineType,
+    age_s: f64,
+    free: [f64; 3],
+    /// What running tasks will free, by when.
+    ends: Vec<(f64, [f64; 3])>,
+}
+
+fn needs(record: &JobRecord) -> [f64; 3] {
+    [record.spec.cpus, record.spec.gpus, record.spec.mem_gb]
+}
+
+fn fits(free: &[f64; 3], need: &[f64; 3]) -> bool {
+    free.iter().zip(need).all(|(f, n)| *f + 1e-6 >= *n)
+}
+
+fn shift(free: &mut [f64; 3], by: &[f64; 3], sign: f64) {
+    free.iter_mut().zip(by).for_each(|(f, b)| *f += sign * b);
+}
+
+impl Seat<'_> {
+    /// Time until there is room; none if never.
+    fn wait(&self, need: &[f64; 3]) -> Option<f64> {
+        let mut free = self.free;
+        if fits(&free, need) {
+            return Some(0.0);
+        }
+        self.ends.iter().find_map(|(at, freed)| {
+            shift(&mut free, freed, 1.0);
+            fits(&free, need).then_some(*at)
+        })
+    }
+
+    /// Books room from when there is some.
+    fn book(&mut self, need: &[f64; 3], wait: f64, until: f64) {
+        if wait > 0.0 {
+            // Taken from when it is free: what is free now stays so.
+            self.end(wait, need.map(|n| -n));
+        } else {
+            shift(&mut self.free, need, -1.0);
+        }
+        self.end(until, *need);
+    }
+
+    fn end(&mut self, at: f64, freed: [f64; 3]) {
+        let place = self.ends.partition_point(|(t, _)| *t <= at);
+        self.ends.insert(place, (at, freed));
+    }
+}
+
+/// Where a job's tasks are, for those that must stay together or apart.
+#[derive(Default)]
+struct Spread {
+    by_zone: BTreeMap<String, usize>,
+    unknown: bool,
+}
+
+impl Core {
+    pub(super) fn learn_run_time(&mut self, part: PartId, key: &TaskKey) {
+        let Some(mine) = self.mine.get(&part) else { return };
+        let Some(started) = mine.running_since.get(key) else { return };
+        // A task that ran before we owned the part began at a time unknown.
+        if started.since(mine.since) < Span(3000) {
+            return;
+        }
+        let ran = self.now.since(*started).as_secs();
+        let Some(job) = self.view.jobs.get(&key.0) else { return };
+        let (class, estimate) = (job.record.spec.class.clone(), job.record.spec.estimate_s);
+        if estimate > 0.0 && ran > 0.5 {
+            self.learned.learn_ratio(&class, ran / estimate);
+        }
+    }
+
+    pub(super) fn rounds(&mut self) {
+        if !self.state_fresh() {
+            return;
+        }
+        self.rebuild_histories();
+        self.plan_stops();
+        let order = self.waiting_jobs();
+        for part in self.mine.keys().copied().collect::<Vec<_>>() {
+            if self.mine.get(&part).is_some_and(|m| m.ready && !m.releasing) {
+                self.round(part, &order);
+            }
+        }
+    }
+
+    fn rebuild_histories(&mut self) {
+        let mut up: BTreeMap<Family, Vec<f64>> = BTreeMap::new();
+        for machine in self.mine.values().flat_map(|m| m.machines.values()) {
+            let family = (machine.kind.clone(), machine.spot, machine.zone.clone());
+            up.entry(family).or_default().push(self.now.since(machine.born).as_secs());
+        }
+        for (family, history) in &mut self.learned.histories {
+            history.rebuild(up.get(family).map_or(&[][..], |ages| ages));
+        }
+    }
+
+    /// Tasks on machines that are about to be taken away are stopped in time
+    /// to save, or at once if they can neither save nor finish.
+    fn plan_stops(&mut self) {
+        let now = self.now;
+        let mut stops = vec![];
+        for (part, mine) in &self.mine {
+            for (name, machine) in &mine.machines {
+                let faulty = machine.faulty;
+                let Some(left) = machine.notice.map(|at| at.since(now).as_secs()).or(faulty.then_some(0.0)) else {
+                    continue;
+                };
+                for key in mine.on.get(name).into_iter().flatten() {
+                    let Some(job) = self.view.jobs.get(&key.0) else { continue };
+                    let spec = &job.record.spec;
+                    let rest = self.rest_of(mine, job, key);
+                    if !faulty && spec.kind == JobKind::Array && rest + 0.5 < left {
+                        continue;
+                    }
+                    let saves = spec.checkpoint_s > 0.0;
+                    if !saves || faulty || left < spec.save_s * 1.5 + 3.0 {
+                        let grace = if saves { spec.save_s.max(1.0) } else { 0.0 };
+                        stops.push((*part, key.clone(), grace));
+                    }
+                }
+            }
+        }
+        for (part, key, grace) in stops {
+            if let Some(mine) = self.mine.get_mut(&part) {
+                mine.stopping.entry(key).or_insert(grace);
+            }
+        }
+    }
+
+    /// Time a placed task still needs, its image included.
+    fn rest_of(&self, mine: &Mine, job: &Job, key: &TaskKey) -> f64 {
+        let spec = &job.record.spec;
+        let estimate = self.learned.run_time(&spec.class, spec.estimate_s);
+        match mine.running_since.get(key) {
+            Some(at) => remaining(estimate, self.now.since(*at).as_secs()),
+            None => estimate + 2.0,
+        }
+    }
+
+    /// Jobs with work left, in the order they are served: priority first,
+    /// then work within a guarantee, then the least time to spare.
+    fn waiting_jobs(&self) -> Vec<JobRef> {
+        let guaranteed = self.guaranteed_jobs();
+        let mut order: Vec<(bool, bool, std::cmp::Reverse<Priority>, i64, u64, JobRef)> = vec![];
+        for id in &self.view.active {
+            let Some(job) = self.view.jobs.get(id) else { continue };
+            if job.record.end.is_some() || job.slices.is_empty() || self.learned.held_back(id, self.now) {
+                continue;
+            }
+            let ours = (0..job.slices.len()).any(|s| {
+                job.slices[s].want.as_ref().is_some_and(|w| w.tasks.iter().any(|t| matches!(t, TaskRecord::Idle(_))))
+            });
+            if !ours {
+                continue;
+            }
+            let spec = &job.record.spec;
+            let urgent = spec.priority >= Priority::High;
+            let spare = (self.allowed_s(job) - self.age_s(job) - self.learned.run_time(&spec.class, spec.estimate_s))
+                .clamp(-1e6, 1e6);
+            // Hopelessly late work yields to what can still be in time.
+            let spare = if spare < -5.0 { 1e5 } else { spare };
+            order.push((
+                !urgent,
+                !guaranteed.contains(id),
+                std::cmp::Reverse(spec.priority),
+                spare as i64,
+                job.record.at,
+                id.clone(),
+            ));
+        }
+        order.sort();
+        order.into_iter().map(|o| o.5).collect()
+    }
+
+    /// Age of a job, estimated by the time of day.
+    pub(super) fn age_s(&self, job: &Job) -> f64 {
+        self.wall_ms.saturating_sub(job.record.at) as f64 / 1000.0
+    }
+
+    /// Time a job may take from its submission, as its user or the aims say.
+    pub(super) fn allowed_s(&self, job: &Job) -> f64 {
+        let spec = &job.record.spec;
+        if let Some(deadline) = spec.deadline_s {
+            return deadline;
+        }
+        let aims = self.settings.cluster.objectives.iter();
+        let aim = aims
+            .filter(|o| o.class.as_deref() == Some(&spec.class) && o.kind == "finished")
+            .filter_map(|o| o.within_s)
+            .fold(f64::INFINITY, f64::min);
+        if aim.is_finite() {
+            aim
+        } else {
+            600.0 + spec.estimate_s * 3.0
+        }
+    }
+
+    /// Jobs that fit into their team's guarantee along with its earlier ones.
+    pub(super) fn guaranteed_jobs(&self) -> BTreeSet<JobRef> {
+        let mut jobs: Vec<(&JobRef, &Job)> = self
+            .view
+            .active
+            .iter()
+            .filter_map(|id| Some((id, self.view.jobs.get(id)?)))
+            .filter(|(_, j)| j.record.end.is_none())
+            .collect();
+        jobs.sort_by_key(|(id, j)| (j.record.at, (*id).clone()));
+        let mut left: BTreeMap<&str, [f64; 2]> =
+            self.settings.cluster.teams.iter().map(|t| (t.name.as_str(), [t.cpus, t.gpus])).collect();
+        let mut within = BTreeSet::new();
+        for (id, job) in jobs {
+            let spec = &job.record.spec;
+            let Some(room) = left.get_mut(spec.team.as_str()) else { continue };
+            let tasks = f64::from(spec.tasks);
+            room[0] -= spec.cpus * tasks;
+            room[1] -= spec.gpus * tasks;
+            if room[0] >= -1e-6 && room[1] >= -1e-6 {
+                within.insert(id.clone());
+            }
+        }
+        within
+    }
+
+    fn seats<'a>(&'a self, part: PartId) -> Vec<Seat<'a>> {
+        let Some(mine) = self.mine.get(&part) else { return vec![] };
+        let quiet = Span(self.timing.worker_lease.0 / 3);
+        let mut seats = vec![];
+        for (name, machine) in &mine.machines {
+            let Some(type_) = self.catalog.get(&machine.kind) else { continue };
+            let usable = !machine.faulty
+                && machine.notice.is_none()
+                && self.now.since(machine.last_report) < quiet
+                && !self.draining(name);
+            if !usable {
+                continue;
+            }
+            let mut free = [type_.cpus, type_.gpus, type_.mem_gb];
+            let mut ends = vec![];
+            let known = mine.on.get(name);
+            for key in known.into_iter().flatten() {
+                let Some(job) = self.view.jobs.get(&key.0) else { continue };
+                let need = needs(&job.record);
+                shift(&mut free, &need, -1.0);
+                if job.record.spec.kind == JobKind::Array {
+                    ends.push((self.rest_of(mine, job, key), need));
+                }
+            }
+            // Tasks on the machine that nobody wants there still take room.
+            for (key, (_, state, _)) in &machine.listed {
+                if *state != TaskState::Exited && !known.is_some_and(|k| k.contains(key)) {
+                    if let Some(job) = self.view.jobs.get(&key.0) {
+                        shift(&mut free, &needs(&job.record), -1.0);
+                    }
+                }
+            }
+            ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let age_s = self.now.since(machine.born).as_secs();
+            seats.push(Seat { name, machine, type_, age_s, free, ends });
+        }
+        seats
+    }
+
+    fn round(&mut self, part: PartId, order: &[JobRef]) {
+        let mut places: Vec<(TaskKey, Attempt, MachineId)> = vec![];
+        let mut wanted: BTreeMap<String, (f64, f64)> = BTreeMap::new();
+        let mut used = self.mine.get(&part).map(|m| m.used.clone()).unwrap_or_default();
+        let mut seats = self.seats(part);
+        for id in order {
+            if places.len() >= self.tuning.round_limit {
+                break;
+            }
+            let Some(job) = self.view.jobs.get(id) else { continue };
+            let need = needs(&job.record);
+            let limits = self.allowance(part, &job.record.spec.team);
+            let mut spread = self.spread(part, id, job);
+            let mut scores: Vec<Option<(f64, f64)>> = vec![None; seats.len()];
+            let mut full = false;
+            let mut waits = 0;
+            for index in 0..job.slices.len() {
+                if job.part_of(index) != Some(part) {
+                    continue;
+                }
+                let Some(want) = &job.slices[index].want else { continue };
+                let first = job.record.plan.as_ref().map_or(0, |p| p.first_task(index));
+                for (at, task) in want.tasks.iter().enumerate() {
+                    let TaskRecord::Idle(attempt) = task else { continue };
+                    if full || places.len() >= self.tuning.round_limit {
+                        break;
+                    }
+                    let team = used.entry(job.record.spec.team.clone()).or_default();
+                    let over = |limit: Option<f64>, used: f64, need: f64| limit.is_some_and(|l| used + need > l + 1e-9);
+                    if over(limits.0, team.0, need[0]) || over(limits.1, team.1, need[1]) {
+                        let lack = wanted.entry(job.record.spec.team.clone()).or_default();
+                        lack.0 += need[0];
+                        lack.1 += need[1];
+                        continue;
+                    }
+                    match self.best_seat(&seats, job, &need, &spread, &mut scores) {
+                        None => full = true,
+                        Some((seat, wait, run)) => {
+                            seats[seat].book(&need, wait, wait + run);
+                            scores[seat] = None;
+                            if wait > 0.0 {
+                                waits += 1;
+                                full = waits >= MOST_WAITS;
+                                continue;
+                            }
+                            team.0 += need[0];
+                            team.1 += need[1];
+                            if job.record.spec.whole() {
+                                *spread.by_zone.entry(seats[seat].machine.zone.clone()).or_default() += 1;
+                                scores.fill(None);
+                            }
+                            let key = (id.clone(), first + at as u32);
+                            places.push((key, Attempt(attempt.0 + 1), seats[seat].name.clone()));
+                        }
+                    }
+                }
+            }
+        }
+        drop(seats);
+        for (key, attempt, machine) in places {
+            self.set_task(&key, TaskRecord::On(attempt, machine));
+        }
+        if let Some(mine) = self.mine.get_mut(&part) {
+            mine.wanted = wanted;
+        }
+    }
+
+    fn spread(&self, part: PartId, id: &JobRef, job: &Job) -> Spread {
+        let mut spread = Spread::default();
+        if !job.record.spec.one_zone && !job.record.spec.apart {
+            return spread;
+        }
+        let Some(mine) = self.mine.get(&part) else { return spread };
+        for (machine, tasks) in &mine.on {
+            let here = tasks.iter().filter(|t| t.0 == *id).count();
+            match mine.machines.get(machine) {
+                _ if here == 0 => {}
+                Some(m) => *spread.by_zone.entry(m.zone.clone()).or_default() += here,
+                // Where some of its tasks are is not known yet: wait.
+                None => spread.unknown = true,
+            }
+        }
+        spread
+    }
+
+    /// The machine of least expected completion: its index, the wait for
+    /// room, and the run time there.
+    fn best_seat(
+        &self,
+        seats: &[Seat],
+        job: &Job,
+        need: &[f64; 3],
+        spread: &Spread,
+        scores: &mut [Option<(f64, f64)>],
+    ) -> Option<(usize, f64, f64)> {
+        if spread.unknown {
+            return None;
+        }
+        let spec = &job.record.spec;
+        let run_s = self.learned.run_time(&spec.class, spec.estimate_s);
+        let mut best: Option<(f64, f64, usize, f64, f64)> = None;
+        for (index, seat) in seats.iter().enumerate() {
+            if !self.allowed(job, seat, spread) {
+                continue;
+            }
+            let (score, wait) = match scores[index] {
+                Some(known) => known,
+                None => {
+                    let known = self.score(seat, job, need, run_s);
+                    scores[index] = Some(known);
+                    known
+                }
+            };
+            if !score.is_finite() {
+                continue;
+            }
+            // Services take the first fit.
+            if spec.kind == JobKind::Standing {
+                return Some((index, 0.0, 1e9));
+            }
+            // Among equals the fullest, so that others can be given back.
+            let rounded = (score * 2.0).round();
+            let better = best.is_none_or(|b| (rounded, seat.free[0]) < (b.0, b.1));
+            if better {
+                best = Some((rounded, seat.free[0], index, wait, run_s));
+            }
+        }
+        best.map(|(_, _, index, wait, run)| (index, wait, run + self.fetch_s(&seats[index], job)))
+    }
+
+    fn allowed(&self, job: &Job, seat: &Seat, spread: &Spread) -> bool {
+        let spec = &job.record.spec;
+        let zone = &seat.machine.zone;
+        let half = spec.tasks.div_ceil(2) as usize;
+        spec.types.as_ref().is_none_or(|types| types.contains(&seat.machine.kind))
+            && spec.zone.as_ref().is_none_or(|z| z == zone)
+            && (spec.spot || !seat.machine.spot)
+            && (!spec.one_zone || spread.by_zone.keys().all(|z| z == zone))
+            && (!spec.apart || spread.by_zone.get(zone).copied().unwrap_or(0) < half)
+    }
+
+    /// Time to fetch the job's image, if the machine lacks it.
+    fn fetch_s(&self, seat: &Seat, job: &Job) -> f64 {
+        let spec = &job.record.spec;
+        let there = seat.machine.images.iter().any(|(name, _)| *name == spec.image);
+        if there || seat.type_.fetch_gb_per_s <= 0.0 {
+            0.0
+        } else {
+            spec.image_gb / seat.type_.fetch_gb_per_s
+        }
+    }
+
+    /// Expected completion and wait for room; infinite if there is none.
+    fn score(&self, seat: &Seat, job: &Job, need: &[f64; 3], run_s: f64) -> (f64, f64) {
+        let spec = &job.record.spec;
+        let Some(wait) = seat.wait(need) else { return (f64::INFINITY, 0.0) };
+        let service = spec.kind == JobKind::Standing;
+        if wait > 0.0 && (service || !self.tuning.may_wait) {
+            return (f64::INFINITY, 0.0);
+        }
+        static NOTHING: std::sync::OnceLock<History> = std::sync::OnceLock::new();
+        let family = (seat.machine.kind.clone(), seat.machine.spot, seat.machine.zone.clone());
+        let known = self.learned.histories.get(&family).filter(|_| self.tuning.use_lifetimes);
+        let history = known.unwrap_or_else(|| NOTHING.get_or_init(History::default));
+        let prospect = Prospect {
+            age_s: seat.age_s,
+            wait_s: wait + self.fetch_s(seat, job),
+            run_s,
+            checkpoint_s: spec.checkpoint_s,
+        };
+        (expected_completion(history, prospect), wait)
+    }
+}
--- /dev/null
+++ b/src/coordination/scoring.rs
@@ -0,0 +1,97 @@
+//! The expected completion of a task on a machine, as pure functions.
+
+use crate::bookkeeping::lifetimes::History;
+
+/// What a task would meet on a machine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Prospect {
+    /// The machine's age now.
+    pub age_s: f64,
+    /// Estimated wait until the task can run there (room, image).
+    pub wait_s: f64,
+    /// Estimated run time.
+    pub run_s: f64,
+    /// Progress between checkpoints; 0 if a loss costs everything.
+    pub checkpoint_s: f64,
+}
+
+/// P_c with P_s = 1: the chance that the machine outlasts the task.
+pub fn completion_chance(history: &History, age_s: f64, run_s: f64) -> f64 {
+    const SHRINK_CHANCE: f64 = 1.0;
+    1.0 - SHRINK_CHANCE * (1.0 - history.outlasts(age_s, run_s))
+}
+
+/// R: expected completion on a machine that has just come up, restarts on
+/// machines like it included.
+pub fn fresh_start(history: &History, run_s: f64) -> f64 {
+    let p = completion_chance(history, 0.0, run_s).max(0.02);
+    run_s + (1.0 - p) / p * history.wasted(0.0, run_s)
+}
+
+/// E = a + p·d + (1 − p)·(w + R).
+pub fn expected_completion(history: &History, prospect: Prospect) -> f64 {
+    let Prospect { age_s, wait_s, run_s, checkpoint_s } = prospect;
+    let age_then = age_s + wait_s;
+    let p = completion_chance(history, age_then, run_s);
+    if p >= 1.0 {
+        return wait_s + run_s;
+    }
+    let wasted = history.wasted(age_then, run_s);
+    let (lost, again) = if checkpoint_s > 0.0 {
+        // What was saved need not run again.
+        (wasted, run_s - (wasted - checkpoint_s).max(0.0))
+    } else {
+        (wasted, run_s)
+    };
+    wait_s + p * run_s + (1.0 - p) * (lost + fresh_start(history, again))
+}
+
+/// Time a running task still needs: past its estimate it is taken to end at
+/// twice its elapsed time.
+pub fn remaining(estimate_s: f64, elapsed_s: f64) -> f64 {
+    if elapsed_s < estimate_s {
+        estimate_s - elapsed_s
+    } else {
+        elapsed_s
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::bookkeeping::lifetimes::Life;
+
+    fn history() -> History {
+        let mut h = History::default();
+        for age_s in [10.0, 20.0, 30.0, 40.0] {
+            h.add(Life { age_s, lost: true });
+        }
+        h.rebuild(&[]);
+        h
+    }
+
+    #[test]
+    fn worked_by_hand() {
+        // Fresh machine, d = 15: p = 3/4, w = 10; R = 15 + (1/4)/(3/4)·10 = 18.333.
+        let r = fresh_start(&history(), 15.0);
+        assert!((r - (15.0 + 10.0 / 3.0)).abs() < 1e-9);
+        // E = 0 + 0.75·15 + 0.25·(10 + 18.333).
+        let e = expected_completion(&history(), Prospect { age_s: 0.0, wait_s: 0.0, run_s: 15.0, checkpoint_s: 0.0 });
+        assert!((e - (11.25 + 0.25 * (10.0 + r))).abs() < 1e-9);
+    }
+
+    #[test]
+    fn no_history_leaves_wait_and_run() {
+        let e = expected_completion(
+            &History::default(),
+            Prospect { age_s: 5.0, wait_s: 3.0, run_s: 7.0, checkpoint_s: 0.0 },
+        );
+        assert_eq!(e, 10.0);
+    }
+
+    #[test]
+    fn overdue_tasks_end_at_twice_elapsed() {
+        assert_eq!(remaining(50.0, 20.0), 30.0);
+        assert_eq!(remaining(50.0, 60.0), 60.0);
+    }
+}
--- /dev/null
+++ b/src/coordination/users.rs
@@ -0,0 +1,259 @@
+//! Users: submissions, queries and cancellations.
+
+use super::*;
+use crate::bookkeeping::records::{job_key, End, JobRecord, Plan};
+use crate::protocol::users::{JobKind, JobState};
+
+/// Tries of a cancellation that meets other changes of its job.
+const CANCEL_TRIES: u32 = 4;
+
+impl Core {
+    pub(super) fn user(&mut self, request: RequestId, ask: Ask) {
+        match ask {
+            Ask::Up => {
+                let reply = if self.can_take() { Reply::Up } else { Reply::later("starting") };
+                self.reply(request, reply);
+            }
+            Ask::Submit(spec) => self.submit(request, spec),
+            Ask::Query(job) => self.query(request, job),
+            Ask::Cancel(job) => self.cancel(request, job),
+        }
+    }
+
+    /// True if submissions can be judged and the records can be reached, or
+    /// if nobody seems to reach them: then it is not this node's trouble.
+    fn can_take(&self) -> bool {
+        let reached = self.last_state_answer.is_some_and(|at| self.now.since(at) < Span(3000));
+        let others_reach = self
+            .peers
+            .values()
+            .any(|p| p.state_reachable && p.heard.is_some_and(|at| self.now.since(at) < Span(3000)));
+        self.loaded && !self.catalog.is_empty() && (reached || !others_reach)
+    }
+
+    fn known_final(&self, job: &JobRef) -> Option<JobState> {
+        self.view.final_state(job).map(state_of)
+    }
+
+    fn answer_job(&mut self, request: RequestId, status: u16, id: &JobRef, record: Option<&JobRecord>) {
+        let ended = record.and_then(|r| r.end).map(state_of).or_else(|| self.known_final(id));
+        let counts = self.view.jobs.get(id).map_or((0, 0), |j| j.counts());
+        let (state, counts) = match ended {
+            Some(JobState::Done) => {
+                let all = record.map(|r| r.spec.tasks).or(self.view.jobs.get(id).map(|j| j.record.spec.tasks));
+                (JobState::Done, all.map(|tasks| (tasks, 0)))
+            }
+            Some(state) => (state, Some((counts.0, 0))),
+            None if counts.1 > 0 => (JobState::Running, Some(counts)),
+            None => (JobState::Queued, Some(counts)),
+        };
+        self.reply(request, Reply::Job { status, id: id.clone(), state, counts });
+    }
+
+    /// Takes from the share of reads what a user's request needs.
+    fn afford(&mut self, request: RequestId, cost: f64) -> bool {
+        if self.now >= self.retry_state_at && self.reads.take(self.now, cost) {
+            return true;
+        }
+        self.reply(request, Reply::Problem { status: 503, reason: "busy".into(), retry_after_s: Some(1) });
+        false
+    }
+
+    fn submit(&mut self, request: RequestId, spec: Box<JobSpec>) {
+        if self.known_final(&spec.id).is_some() {
+            let id = spec.id.clone();
+            return self.answer_job(request, 200, &id, None);
+        }
+        if self.view.jobs.contains_key(&spec.id) {
+            if self.afford(request, 1.0) {
+                let call = StateCall::Get { key: job_key(&spec.id) };
+                self.call_state(call, Pending::SubmitRead { request, fresh: false });
+            }
+            return;
+        }
+        if !self.loaded || self.catalog.is_empty() {
+            return self.reply(request, Reply::later("starting"));
+        }
+        if let Some(reason) = self.impossible(&spec) {
+            return self.reply(request, Reply::problem(422, &reason));
+        }
+        if !self.afford(request, 1.0) {
+            return;
+        }
+        self.writes.force(self.now, 1.0);
+        let record = JobRecord { plan: self.first_plan(&spec), spec: (*spec).clone(), at: self.wall_ms, end: None };
+        let Ok(value) = serde_json::to_value(&record) else {
+            return self.reply(request, Reply::problem(400, "not a job"));
+        };
+        let key = job_key(&spec.id);
+        let txn = Txn {
+            conditions: vec![Condition { key: key.clone(), version: Revision(0) }],
+            changes: vec![Change::put(key, value)],
+        };
+        self.call_state(StateCall::Txn(txn.clone()), Pending::SubmitWrite { request, txn, spec });
+    }
+
+    /// A job of one slice, or one that must stay whole, goes to the part its
+    /// name hashes to; larger arrays are left to the leader.
+    fn first_plan(&self, spec: &JobSpec) -> Option<Plan> {
+        let size = self.slice_size(spec.tasks);
+        let home = PartId::of(spec.id.as_str(), self.parts);
+        let slices = spec.tasks.div_ceil(size) as usize;
+        (slices == 1 || spec.whole()).then(|| Plan { size, parts: vec![home; slices] })
+    }
+
+    /// Tasks per slice; more for huge jobs, so that their plan stays one value.
+    pub(super) fn slice_size(&self, tasks: u32) -> u32 {
+        let digits = self.parts.to_string().len() + 1;
+        let most = (self.settings.cluster.state.value_kb * 1024.0 * 0.6) as usize / digits;
+        self.tuning.slice_tasks.max(tasks.div_ceil(most.max(1) as u32))
+    }
+
+    /// Why a job can never run, if so.
+    fn impossible(&self, spec: &JobSpec) -> Option<String> {
+        let Some(team) = self.settings.cluster.teams.iter().find(|t| t.name == spec.team) else {
+            return Some("unknown team".into());
+        };
+        let fits = self.catalog.values().any(|t| {
+            spec.types.as_ref().is_none_or(|allowed| allowed.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
+                && t.cpus >= spec.cpus
+                && t.gpus >= spec.gpus
+                && t.mem_gb >= spec.mem_gb
+        });
+        if !fits {
+            return Some("a task fits no allowed machine type".into());
+        }
+        let count = if spec.kind == JobKind::Standing { f64::from(spec.tasks) } else { 1.0 };
+        let over = |max: f64, each: f64| max > 0.0 && each * count > max + 1e-9;
+        if over(team.cpus_max, spec.cpus) || over(team.gpus_max, spec.gpus) {
+            return Some("more than the team's limit".into());
+        }
+        None
+    }
+
+    pub(super) fn submit_written(&mut self, request: RequestId, txn: Txn, spec: Box<JobSpec>, answer: StateAnswer) {
+        let key = job_key(&spec.id);
+        match answer {
+            StateAnswer::Committed(revision) => {
+                self.committed(&txn, revision);
+                self.nudge(revision);
+                self.answer_job(request, 201, &spec.id, None);
+            }
+            // Known already, or our own transaction after all.
+            StateAnswer::Conflict(_) => {
+                self.reads.force(self.now, 1.0);
+                self.call_state(StateCall::Get { key }, Pending::SubmitRead { request, fresh: false });
+            }
+            StateAnswer::Unknown => {
+                self.reads.force(self.now, 1.0);
+                self.call_state(StateCall::Get { key }, Pending::SubmitRead { request, fresh: true });
+            }
+            StateAnswer::Rejected(_) => self.reply(request, Reply::problem(400, "too large to keep")),
+            _ => self.reply(request, Reply::later("the state service does not answer")),
+        }
+    }
+
+    pub(super) fn submit_read(&mut self, request: RequestId, fresh: bool, answer: StateAnswer) {
+        match self.take_job(answer) {
+            Some((id, record)) => self.answer_job(request, if fresh { 201 } else { 200 }, &id, Some(&record)),
+            None => self.reply(request, Reply::later("the state service does not answer")),
+        }
+    }
+
+    /// Takes a job that was read into the view.
+    fn take_job(&mut self, answer: StateAnswer) -> Option<(JobRef, JobRecord)> {
+        let StateAnswer::Found(item) = answer else { return None };
+        let record: JobRecord = serde_json::from_value(item.value.clone()).ok()?;
+        let changed = self.view.apply(&item.key, Some(item.value), item.version);
+        self.changed(changed);
+        Some((record.spec.id.clone(), record))
+    }
+
+    fn query(&mut self, request: RequestId, job: JobRef) {
+        if self.known_final(&job).is_some() {
+            return self.answer_job(request, 200, &job, None);
+        }
+        if self.afford(request, 1.0) {
+            self.call_state(StateCall::Get { key: job_key(&job) }, Pending::Query { request, job });
+        }
+    }
+
+    pub(super) fn query_answer(&mut self, request: RequestId, job: JobRef, answer: StateAnswer) {
+        if matches!(answer, StateAnswer::Missing(_)) && !self.view.jobs.contains_key(&job) {
+            return self.reply(request, Reply::problem(404, "no such job"));
+        }
+        match self.take_job(answer) {
+            Some((id, record)) => self.answer_job(request, 200, &id, Some(&record)),
+            None => self.reply(request, Reply::later("the state service does not answer")),
+        }
+    }
+
+    fn cancel(&mut self, request: RequestId, job: JobRef) {
+        if self.known_final(&job).is_some() {
+            return self.answer_job(request, 200, &job, None);
+        }
+        if self.afford(request, 1.0) {
+            let call = StateCall::Get { key: job_key(&job) };
+            self.call_state(call, Pending::CancelRead { request, job, tries: CANCEL_TRIES });
+        }
+    }
+
+    pub(super) fn cancel_read(&mut self, request: RequestId, job: JobRef, tries: u32, answer: StateAnswer) {
+        if matches!(answer, StateAnswer::Missing(_)) && !self.view.jobs.contains_key(&job) {
+            return self.reply(request, Reply::problem(404, "no such job"));
+        }
+        let version = match &answer {
+            StateAnswer::Found(item) => item.version,
+            _ => Revision(0),
+        };
+        let Some((id, record)) = self.take_job(answer) else {
+            return self.reply(request, Reply::later("the state service does not answer"));
+        };
+        if record.end.is_some() || tries == 0 {
+            if record.end.is_none() {
+                return self.reply(request, Reply::later("the job is changing"));
+            }
+            return self.answer_job(request, 200, &id, Some(&record));
+        }
+        let record = JobRecord { end: Some(End::Cancelled), ..record };
+        let key = job_key(&id);
+        let Ok(value) = serde_json::to_value(record) else { return };
+        let txn = Txn {
+            conditions: vec![Condition { key: key.clone(), version }],
+            changes: vec![Change::put(key, value)],
+        };
+        self.reads.force(self.now, 1.0);
+        self.writes.force(self.now, 1.0);
+        self.call_state(StateCall::Txn(txn.clone()), Pending::CancelWrite { request, job, txn, tries: tries - 1 });
+    }
+
+    pub(super) fn cancel_written(
+        &mut self,
+        request: RequestId,
+        job: JobRef,
+        txn: Txn,
+        tries: u32,
+        answer: StateAnswer,
+    ) {
+        match answer {
+            StateAnswer::Committed(revision) => {
+                self.committed(&txn, revision);
+                self.nudge(revision);
+                self.answer_job(request, 200, &job, None);
+            }
+            StateAnswer::Conflict(_) | StateAnswer::Unknown => {
+                self.reads.force(self.now, 1.0);
+                self.call_state(StateCall::Get { key: job_key(&job) }, Pending::CancelRead { request, job, tries });
+            }
+            _ => self.reply(request, Reply::later("the state service does not answer")),
+        }
+    }
+}
+
+fn state_of(end: End) -> JobState {
+    match end {
+        End::Done => JobState::Done,
+        End::Cancelled => JobState::Cancelled,
+    }
+}
--- /dev/null
+++ b/src/coordination/workers.rs
@@ -0,0 +1,262 @@
+//! Workers' reports: what is on which machine, and what they are told.
+
+use super::part::{Machine, TaskKey};
+use super::*;
+use crate::bookkeeping::records::TaskRecord;
+use crate::protocol::workers::{TaskName, TaskReport, TaskState, Why};
+use crate::units::{Attempt, Seq, Session};
+
+/// The most commands of one answer; the next report fetches the rest.
+const MOST_COMMANDS: usize = 200;
+
+impl Core {
+    pub(super) fn report(&mut self, request: RequestId, report: Report) {
+        let part = self.part_of(&report.machine);
+        let Some(mine) = self.mine.get(&part) else {
+            let owner = self.view.owner(part).filter(|o| **o != self.me).cloned();
+            return self.reply(request, Reply::Elsewhere(owner));
+        };
+        let token = mine.token;
+        // Cut off from the records for too long, or known to be superseded:
+        // the worker's lease must be allowed to run out.
+        let entitled = self.last_read.is_some_and(|at| self.now.since(at) <= self.timing.horizon);
+        if !entitled || report.token > token {
+            return self.reply(request, Reply::Elsewhere(None));
+        }
+        let fresh = self.note_machine(part, &report);
+        let ready = self.mine.get(&part).is_some_and(|m| m.ready);
+        let commands = if fresh && ready { self.commands(part, &report) } else { vec![] };
+        self.reply(request, Reply::Commands { token, commands });
+    }
+
+    /// Takes in what a report says of its machine; false if it came late.
+    fn note_machine(&mut self, part: PartId, report: &Report) -> bool {
+        let now = self.now;
+        let Some(mine) = self.mine.get_mut(&part) else { return false };
+        let token = mine.token;
+        let machine = mine.machines.entry(report.machine.clone()).or_insert_with(|| Machine {
+            kind: report.kind.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+            session: Session(0),
+            seq: Seq(0),
+            acked: false,
+            last_report: now,
+            born: now,
+            notice: None,
+            listed: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            images: vec![],
+            failed_jobs: BTreeSet::new(),
+            faulty: false,
+        });
+        // The answer we are about to give renews the worker's lease.
+        machine.last_report = now;
+        if (report.session, report.seq) <= (machine.session, machine.seq) {
+            return false;
+        }
+        if report.session > machine.session {
+            machine.listed.clear();
+            machine.sent.clear();
+        }
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.acked = report.token == token;
+        machine.notice = match (report.notice_s, machine.notice) {
+            (Some(_), Some(at)) => Some(at),
+            (Some(s), None) => Some(now + Span::secs(s)),
+            (None, _) => None,
+        };
+        let before = std::mem::take(&mut machine.listed);
+        for task in &report.tasks {
+            let key = (task.task.job.clone(), task.task.index);
+            let since = match before.get(&key) {
+                Some((attempt, state, since)) if *attempt == task.attempt && *state == task.state => *since,
+                _ => now,
+            };
+            if task.state == TaskState::Running && mine.on.get(&report.machine).is_some_and(|on| on.contains(&key)) {
+                mine.running_since.entry(key.clone()).or_insert(now);
+            }
+            machine.listed.insert(key, (task.attempt, task.state, since));
+        }
+        true
+    }
+
+    /// Reconciles a report with the records and says what the worker is to do.
+    fn commands(&mut self, part: PartId, report: &Report) -> Vec<Command> {
+        let mut commands = vec![];
+        for task in &report.tasks {
+            if task.state == TaskState::Exited {
+                self.take_exit(&report.machine, task);
+            }
+        }
+        for task in &report.tasks {
+            let key = (task.task.job.clone(), task.task.index);
+            let holds = |record: Option<&TaskRecord>| {
+                matches!(record, Some(TaskRecord::On(a, m)) if *a == task.attempt && *m == report.machine)
+            };
+            let wanted = holds(self.wanted(&key));
+            let durable = holds(self.durable(&key));
+            let name = task.task.clone();
+            let attempt = task.attempt;
+            if task.state == TaskState::Exited {
+                // The exit is durable, or the attempt was never the task's.
+                if !durable && !wanted {
+                    commands.push(Command::Forget { task: name, attempt });
+                }
+                continue;
+            }
+            let ended = self.view.jobs.get(&key.0).is_some_and(|j| j.record.end.is_some());
+            if (!wanted && !durable) || ended {
+                commands.push(Command::Stop { task: name, attempt, grace_s: 0.0 });
+                continue;
+            }
+            let stop = self.mine.get(&part).and_then(|m| m.stopping.get(&key).copied());
+            match stop {
+                Some(_) if task.state == TaskState::Saving => {}
+                Some(grace_s) => commands.push(Command::Stop { task: name, attempt, grace_s }),
+                None => {}
+            }
+        }
+        self.start_or_close(part, report, &mut commands);
+        commands.truncate(MOST_COMMANDS);
+        commands
+    }
+
+    /// Handles tasks that should be on the machine but are not listed.
+    fn start_or_close(&mut self, part: PartId, report: &Report, commands: &mut Vec<Command>) {
+        let Some(mine) = self.mine.get(&part) else { return };
+        let Some(machine) = mine.machines.get(&report.machine) else { return };
+        let listed = |key: &TaskKey, attempt: Attempt| machine.listed.get(key).is_some_and(|l| l.0 == attempt);
+        let usable = machine.notice.is_none() && !machine.faulty && !self.draining(&report.machine);
+        let startable = usable && !mine.releasing && self.state_fresh();
+        let (acked, sent) = (machine.acked, &machine.sent);
+        let mut starts = vec![];
+        let mut gone = vec![];
+        for key in mine.on.get(&report.machine).into_iter().flatten() {
+            let Some(TaskRecord::On(attempt, _)) = self.wanted(key) else { continue };
+            if listed(key, *attempt) {
+                continue;
+            }
+            let durable = self.durable(key) == self.wanted(key);
+            let ended = self.view.jobs.get(&key.0).is_some_and(|j| j.record.end.is_some());
+            let stopped = mine.stopping.contains_key(key);
+            if ended || stopped || !usable {
+                // Not on the machine, and nothing that could still put it
+                // there: earlier owners' answers are void once the worker
+                // has seen our token, and ours once a later report came.
+                let ours_void = sent.get(key).is_none_or(|at| *at < (report.session, report.seq));
+                if acked && ours_void {
+                    gone.push((key.clone(), *attempt));
+                }
+            } else if durable && startable && commands.len() + starts.len() < MOST_COMMANDS {
+                starts.push((key.clone(), *attempt));
+            }
+        }
+        for (key, attempt) in gone {
+            self.set_task(&key, TaskRecord::Idle(attempt));
+        }
+        for (key, attempt) in starts {
+            self.remember_image(part, &report.machine, &key.0);
+            if let Some(machine) = self.mine.get_mut(&part).and_then(|m| m.machines.get_mut(&report.machine)) {
+                machine.sent.insert(key.clone(), (report.session, report.seq));
+            }
+            commands.push(Command::Start { task: TaskName { job: key.0, index: key.1 }, attempt });
+        }
+    }
+
+    fn remember_image(&mut self, part: PartId, machine: &MachineId, job: &JobRef) {
+        let Some(spec) = self.view.jobs.get(job).map(|j| &j.record.spec) else { return };
+        let Some(m) = self.mine.get_mut(&part).and_then(|m| m.machines.get_mut(machine)) else { return };
+        m.images.retain(|(name, _)| *name != spec.image);
+        m.images.push((spec.image.clone(), spec.image_gb));
+        let room = self.catalog.get(&m.kind).map_or(0.0, |t| t.cache_gb);
+        while m.images.len() > 1 && m.images.iter().map(|i| i.1).sum::<f64>() > room {
+            m.images.remove(0);
+        }
+    }
+
+    /// Takes an exit into what is wanted, once.
+    fn take_exit(&mut self, machine: &MachineId, task: &TaskReport) {
+        let key = (task.task.job.clone(), task.task.index);
+        let current = matches!(self.wanted(&key), Some(TaskRecord::On(a, m)) if *a == task.attempt && m == machine);
+        if !current {
+            return;
+        }
+        let part = self.part_of(machine);
+        let why = task.why.unwrap_or(Why::Other);
+        if why == Why::Done {
+            self.learn_run_time(part, &key);
+            self.set_task(&key, TaskRecord::Done);
+        } else {
+            self.set_task(&key, TaskRecord::Idle(task.attempt));
+        }
+        let Some(m) = self.mine.get_mut(&part).and_then(|m| m.machines.get_mut(machine)) else { return };
+        match why {
+            Why::Done => m.failed_jobs.clear(),
+            Why::Error => {
+                m.failed_jobs.insert(key.0.clone());
+                // Failing the tasks of several jobs, it is the machine's fault.
+                m.faulty |= m.failed_jobs.len() >= 2;
+                tracing::info!("task {}/{} failed on {machine}", key.0, key.1);
+                self.learned.job_failed(&key.0, machine, self.now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives up machines that nobody can have kept: their workers have
+    /// killed everything when their lease ran out.
+    pub(super) fn expire_machines(&mut self) {
+        let now = self.now;
+        let lease = self.timing.worker_lease;
+        let unread = self.timing.horizon + lease;
+        let mut gone = vec![];
+        for (part, mine) in &self.mine {
+            if !mine.ready {
+                continue;
+            }
+            let names: BTreeSet<&MachineId> = mine.on.keys().chain(mine.machines.keys()).collect();
+            for name in names {
+                let machine = mine.machines.get(name);
+                // Until the worker has seen our token, an owner before us that
+                // is cut off from the records may have kept its lease alive
+                // for as long as its horizon lets it.
+                let until = match machine {
+                    Some(m) if m.acked => m.last_report + lease,
+                    Some(m) => (m.last_report + lease).max(mine.since + unread),
+                    None => mine.since + unread,
+                };
+                if now > until || self.returned(name) {
+                    gone.push((*part, name.clone()));
+                }
+            }
+        }
+        for (part, name) in gone {
+            tracing::info!("nothing is left on {name}");
+            self.clear_machine(part, &name);
+        }
+    }
+
+    /// Everything that was on the machine is gone for certain.
+    fn clear_machine(&mut self, part: PartId, name: &MachineId) {
+        let Some(mine) = self.mine.get_mut(&part) else { return };
+        let keys: Vec<TaskKey> = mine.on.get(name).into_iter().flatten().cloned().collect();
+        if let Some(machine) = mine.machines.remove(name) {
+            let lost = !self.returned(name);
+            self.learned.machine_gone(&machine, self.now, lost);
+        }
+        for key in keys {
+            if let Some(TaskRecord::On(attempt, _)) = self.wanted(&key).cloned() {
+                self.set_task(&key, TaskRecord::Idle(attempt));
+            }
+        }
+    }
+}
+
+impl std::ops::Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0 + other.0)
+    }
+}
--- /dev/null
+++ b/src/protocol/users.rs
@@ -0,0 +1,161 @@
+//! What users send and receive.
+
+use crate::units::JobRef;
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Priority {
+    #[serde(rename = "idle")]
+    Low,
+    #[serde(rename = "normal")]
+    Normal,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "critical")]
+    Critical,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobKind {
+    #[serde(rename = "array")]
+    Array,
+    #[serde(rename = "standing")]
+    Standing,
+}
+
+/// A job as its user describes it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    #[serde(rename = "ref")]
+    pub id: JobRef,
+    #[serde(rename = "haul")]
+    pub class: String,
+    #[serde(rename = "crew")]
+    pub team: String,
+    #[serde(rename = "rig")]
+    pub kind: JobKind,
+    #[serde(rename = "rank")]
+    pub priority: Priority,
+    #[serde(rename = "loads")]
+    pub tasks: u32,
+    #[serde(rename = "cores")]
+    pub cpus: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    pub mem_gb: f64,
+    #[serde(rename = "kit")]
+    pub image: String,
+    pub image_gb: f64,
+    #[serde(rename = "hulls", default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    #[serde(rename = "berth", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+    #[serde(default)]
+    pub one_zone: bool,
+    #[serde(default)]
+    pub apart: bool,
+    #[serde(rename = "driftwood", default)]
+    pub spot: bool,
+    #[serde(rename = "reckon_s")]
+    pub estimate_s: f64,
+    #[serde(rename = "mark_s", default)]
+    pub checkpoint_s: f64,
+    #[serde(rename = "stow_s", default)]
+    pub save_s: f64,
+    #[serde(rename = "tide_s", default, skip_serializing_if = "Option::is_none")]
+    pub deadline_s: Option<f64>,
+}
+
+/// The most tasks a job may have.
+pub const MAX_TASKS: u32 = 100_000;
+
+/// Ids are `wk-` and digits; anything else was never accepted.
+pub fn valid_job_ref(text: &str) -> bool {
+    text.strip_prefix("wk-")
+        .is_some_and(|rest| !rest.is_empty() && rest.len() <= 40 && rest.bytes().all(|b| b.is_ascii_alphanumeric()))
+}
+
+impl JobSpec {
+    /// Reads and checks a submission; the error is a short reason for its user.
+    pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
+        let value: serde_json::Value = serde_json::from_slice(body).map_err(|_| "the body is not JSON".to_string())?;
+        if !value.is_object() {
+            return Err("the body is not an object".into());
+        }
+        let spec: JobSpec = serde_json::from_value(value).map_err(|e| {
+            let mut reason = e.to_string();
+            reason.truncate(reason.char_indices().nth(160).map_or(reason.len(), |(at, _)| at));
+            reason
+        })?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let amount = |name: &str, value: f64, least: f64| {
+            if value.is_finite() && value >= least && value < 1e9 {
+                Ok(())
+            } else {
+                Err(format!("{name} is out of range"))
+            }
+        };
+        if !valid_job_ref(self.id.as_str()) {
+            return Err("ref is not a job id".into());
+        }
+        if self.tasks == 0 || self.tasks > MAX_TASKS {
+            return Err("loads is out of range".into());
+        }
+        for (name, text) in [("haul", &self.class), ("crew", &self.team), ("kit", &self.image)] {
+            if text.is_empty() || text.len() > 128 {
+                return Err(format!("{name} is empty or too long"));
+            }
+        }
+        let named = self.types.iter().flatten().chain(self.zone.iter());
+        if named.clone().any(|n| n.len() > 128) || named.count() > 65 {
+            return Err("hulls or berth is too long".into());
+        }
+        amount("cores", self.cpus, 0.0)?;
+        amount("gpus", self.gpus, 0.0)?;
+        amount("mem_gb", self.mem_gb, 0.0)?;
+        if self.cpus + self.gpus + self.mem_gb <= 0.0 {
+            return Err("the tasks take nothing".into());
+        }
+        amount("image_gb", self.image_gb, 0.0)?;
+        amount("reckon_s", self.estimate_s, 0.0)?;
+        amount("mark_s", self.checkpoint_s, 0.0)?;
+        amount("stow_s", self.save_s, 0.0)?;
+        if let Some(deadline) = self.deadline_s {
+            amount("tide_s", deadline, 0.0)?;
+        }
+        Ok(())
+    }
+
+    /// True if all tasks must be decided on in one place.
+    pub fn whole(&self) -> bool {
+        self.one_zone || self.apart || self.kind == JobKind::Standing
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    #[serde(rename = "queued")]
+    Queued,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "aborted")]
+    Cancelled,
+}
+
+#[derive(Debug, Serialize)]
+pub struct JobAnswer<'a> {
+    #[serde(rename = "ref")]
+    pub id: &'a JobRef,
+    #[serde(rename = "trim")]
+    pub state: JobState,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
--- /dev/null
+++ b/src/protocol/workers.rs
@@ -0,0 +1,138 @@
+//! What workers report and which commands they take.
+
+use crate::units::{Attempt, JobRef, MachineId, Seq, Session, Token};
+use serde::{Deserialize, Serialize};
+
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct Report {
+    #[serde(rename = "deck")]
+    pub machine: MachineId,
+    #[serde(rename = "endpoint")]
+    pub addr: String,
+    #[serde(rename = "hull")]
+    pub kind: String,
+    #[serde(rename = "berth")]
+    pub zone: String,
+    #[serde(rename = "driftwood", default)]
+    pub spot: bool,
+    #[serde(rename = "watch")]
+    pub session: Session,
+    #[serde(rename = "tally")]
+    pub seq: Seq,
+    #[serde(rename = "helm", default)]
+    pub token: Token,
+    #[serde(rename = "recall_s", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "loads", default)]
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct TaskReport {
+    #[serde(rename = "load")]
+    pub task: TaskName,
+    #[serde(rename = "cast")]
+    pub attempt: Attempt,
+    #[serde(rename = "trim")]
+    pub state: TaskState,
+    #[serde(rename = "cause", default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<Why>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+/// `job/number`, as tasks are called on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskName {
+    pub job: JobRef,
+    pub index: u32,
+}
+
+impl Serialize for TaskName {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&format_args!("{}/{}", self.job, self.index))
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskName {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.rsplit_once('/')
+            .and_then(|(job, index)| Some(TaskName { job: JobRef::new(job), index: index.parse().ok()? }))
+            .ok_or_else(|| serde::de::Error::custom("not a task name"))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+pub enum TaskState {
+    #[serde(rename = "pulling")]
+    Fetching,
+    #[serde(rename = "waiting")]
+    Waiting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "flushing")]
+    Saving,
+    #[serde(rename = "ended")]
+    Exited,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+pub enum Why {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "halted")]
+    Stopped,
+    #[serde(rename = "error")]
+    Error,
+    #[serde(rename = "no_room")]
+    NoRoom,
+    #[serde(rename = "in_use")]
+    Busy,
+    #[serde(rename = "no_such")]
+    Unknown,
+    #[serde(other, rename = "other")]
+    Other,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "call")]
+pub enum Command {
+    #[serde(rename = "start")]
+    Start {
+        #[serde(rename = "load")]
+        task: TaskName,
+        #[serde(rename = "cast")]
+        attempt: Attempt,
+    },
+    #[serde(rename = "kill")]
+    Stop {
+        #[serde(rename = "load")]
+        task: TaskName,
+        #[serde(rename = "cast")]
+        attempt: Attempt,
+        #[serde(rename = "slack_s")]
+        grace_s: f64,
+    },
+    #[serde(rename = "reap")]
+    Forget {
+        #[serde(rename = "load")]
+        task: TaskName,
+        #[serde(rename = "cast")]
+        attempt: Attempt,
+    },
+}
+
+#[derive(Debug, Serialize)]
+pub struct ReportAnswer<'a> {
+    #[serde(rename = "helm")]
+    pub token: Token,
+    #[serde(rename = "calls")]
+    pub commands: &'a [Command],
+}
+
+#[derive(Debug, Serialize)]
+pub struct GoElsewhere<'a> {
+    #[serde(rename = "harbour", skip_serializing_if = "Option::is_none")]
+    pub report_to: Option<&'a str>,
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,228 @@
+//! Settings: the platform's JSON file, whose unknown fields are ignored, and
+//! the operators' own TOML, whose unknown keys are refused.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("cannot read {0}: {1}")]
+    Read(String, std::io::Error),
+    #[error("{0}: {1}")]
+    Parse(String, String),
+    #[error("{0}: {1} {2}")]
+    Value(String, &'static str, &'static str),
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    #[serde(rename = "label")]
+    pub node: String,
+    #[serde(rename = "domain", default)]
+    pub zone: String,
+    pub client_listen: SocketAddr,
+    #[serde(rename = "internal_addr")]
+    pub peer_listen: SocketAddr,
+    #[serde(rename = "known", default)]
+    pub peers: Vec<PeerNode>,
+    #[serde(rename = "external")]
+    pub services: Services,
+    pub cluster: Cluster,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct PeerNode {
+    #[serde(rename = "label")]
+    pub node: String,
+    #[serde(rename = "domain", default)]
+    pub zone: String,
+    #[serde(rename = "address")]
+    pub addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Cluster {
+    #[serde(default)]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub quota: Quota,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim on starting or finishing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Quota {
+    pub ram_mb: f64,
+    pub fd_limit: usize,
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Read(name.clone(), e))?;
+        let settings: Settings =
+            serde_json::from_str(&text).map_err(|e| SettingsError::Parse(name.clone(), e.to_string()))?;
+        settings.check(&name)?;
+        Ok(settings)
+    }
+
+    fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let c = &self.cluster;
+        let positive = [
+            ("cluster.workers.report_s", c.workers.report_s),
+            ("cluster.workers.lease_s", c.workers.lease_s),
+            ("cluster.workers.cancel_s", c.workers.cancel_s),
+            ("cluster.state.rps", c.state.rps),
+            ("cluster.state.write_rps", c.state.write_rps),
+            ("cluster.state.value_kb", c.state.value_kb),
+            ("cluster.cloud.rps", c.cloud.rps),
+            ("cluster.quota.ram_mb", c.quota.ram_mb),
+        ];
+        for (field, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(SettingsError::Value(file.into(), field, "must be above 0"));
+            }
+        }
+        if self.node.is_empty() {
+            return Err(SettingsError::Value(file.into(), "label", "is empty"));
+        }
+        if c.state.txn_ops < 4 {
+            return Err(SettingsError::Value(file.into(), "cluster.state.txn_ops", "must be at least 4"));
+        }
+        if c.quota.fd_limit < 32 {
+            return Err(SettingsError::Value(file.into(), "cluster.quota.fd_limit", "must be at least 32"));
+        }
+        if c.workers.cancel_s <= c.workers.lease_s {
+            return Err(SettingsError::Value(file.into(), "cluster.workers.cancel_s", "must exceed lease_s"));
+        }
+        Ok(())
+    }
+
+    /// All controllers' names, sorted, this one included.
+    pub fn node_names(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.peers.iter().map(|p| p.node.clone()).collect();
+        names.push(self.node.clone());
+        names.sort();
+        names.dedup();
+        names
+    }
+}
+
+/// The operators' own settings.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tuning {
+    /// Pause between placement rounds.
+    pub round_ms: u64,
+    /// Tasks per slice of a large array.
+    pub slice_tasks: u32,
+    /// Idle time after which a machine is given back.
+    pub idle_s: f64,
+    /// Placements decided on in one round at the most.
+    pub round_limit: usize,
+    /// Whether P_c takes part in the score; off for comparisons.
+    pub use_lifetimes: bool,
+    /// Whether a task may wait for a busy machine; off for comparisons.
+    pub may_wait: bool,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning { round_ms: 150, slice_tasks: 16, idle_s: 20.0, round_limit: 96, use_lifetimes: true, may_wait: true }
+    }
+}
+
+impl Tuning {
+    pub fn load(path: &Path) -> Result<Tuning, SettingsError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Read(name.clone(), e))?;
+        let tuning: Tuning =
+            toml::from_str(&text).map_err(|e| SettingsError::Parse(name.clone(), one_line(&e.to_string())))?;
+        let wrong = |field, why| Err(SettingsError::Value(name.clone(), field, why));
+        if !(10..=10_000).contains(&tuning.round_ms) {
+            return wrong("round_ms", "must lie between 10 and 10000");
+        }
+        if !(1..=100).contains(&tuning.slice_tasks) {
+            return wrong("slice_tasks", "must lie between 1 and 100");
+        }
+        if !(tuning.idle_s.is_finite() && tuning.idle_s >= 0.0) {
+            return wrong("idle_s", "must be 0 or more");
+        }
+        if tuning.round_limit == 0 {
+            return wrong("round_limit", "must be above 0");
+        }
+        Ok(tuning)
+    }
+}
+
+fn one_line(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn unknown_operator_keys_are_refused() {
+        assert!(toml::from_str::<Tuning>("round_ms = 200").is_ok());
+        assert!(toml::from_str::<Tuning>("rounds_ms = 200").is_err());
+    }
+}
--- /dev/null
+++ b/src/transport/engine.rs
@@ -0,0 +1,95 @@
+//! Runs the core: feeds it what comes in, and carries out what it says.
+
+use super::outside::Outside;
+use super::{peers, server};
+use crate::coordination::{Ask, Core, Input, Output, Reply};
+use crate::protocol::workers::Report;
+use crate::settings::{Settings, Tuning};
+use crate::units::{RequestId, Time};
+use std::collections::{HashMap, VecDeque};
+use std::net::TcpListener;
+use std::sync::mpsc::{sync_channel, RecvTimeoutError, SyncSender};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Events waiting for the core; a connection that finds this full is refused.
+const QUEUE: usize = 1024;
+
+/// A request that wants an answer.
+pub enum Asked {
+    User(Ask),
+    Report(Box<Report>),
+}
+
+pub enum Event {
+    Asked(Asked, SyncSender<Reply>),
+    Input(Input),
+}
+
+/// Serves until the process is killed.
+pub fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
+    let (engine, events) = sync_channel(QUEUE);
+    let listener = TcpListener::bind(settings.client_listen)?;
+    let outside = Outside::new(&engine, settings.services.state, settings.services.cloud)?;
+    let peer_addrs = settings.peers.iter().map(|p| p.addr).collect();
+    let notes = peers::start(settings.peer_listen, peer_addrs, engine.clone())?;
+    // Callers and peers need some sockets; the rest is for users and workers.
+    let most = settings.cluster.quota.fd_limit.saturating_sub(24 + 4 * settings.peers.len()).max(8);
+    // What connections may take of the memory: stack and buffers of a thread each.
+    let by_memory = (settings.cluster.quota.ram_mb * 1024.0 * 0.5 / 48.0) as usize;
+    let most = most.min(by_memory.max(8));
+    std::thread::Builder::new()
+        .name("listen".into())
+        .stack_size(128 * 1024)
+        .spawn(move || server::listen(listener, most, engine))?;
+
+    let begin = Instant::now();
+    let mut core = Core::new(settings, tuning);
+    let mut waiting: HashMap<RequestId, SyncSender<Reply>> = HashMap::new();
+    let mut last_request = 0;
+    let mut next_tick = begin;
+    let mut again: VecDeque<Input> = VecDeque::new();
+    loop {
+        let input = if let Some(input) = again.pop_front() {
+            input
+        } else {
+            match events.recv_timeout(next_tick.saturating_duration_since(Instant::now())) {
+                Ok(Event::Input(input)) => input,
+                Ok(Event::Asked(asked, answer)) => {
+                    last_request += 1;
+                    let id = RequestId(last_request);
+                    waiting.insert(id, answer);
+                    match asked {
+                        Asked::User(ask) => Input::User(id, ask),
+                        Asked::Report(report) => Input::Report(id, *report),
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {
+                    next_tick = Instant::now() + Duration::from_millis(core.next_tick().0);
+                    Input::Tick
+                }
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+        };
+        let now = Time(begin.elapsed().as_millis() as u64 + 1);
+        let wall_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        for output in core.handle(now, wall_ms, input) {
+            match output {
+                Output::Reply(id, reply) => {
+                    if let Some(answer) = waiting.remove(&id) {
+                        let _ = answer.try_send(reply);
+                    }
+                }
+                Output::State(id, call) => again.extend(outside.state(id, call)),
+                Output::Cloud(id, call) => again.extend(outside.cloud(id, call)),
+                Output::Tell(note) => {
+                    let _ = notes.send(note);
+                }
+            }
+        }
+        // A steady stream of events must not keep the clock from ticking.
+        if Instant::now() > next_tick + Duration::from_millis(100) {
+            next_tick = Instant::now();
+            again.push_back(Input::Tick);
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/http.rs
@@ -0,0 +1,253 @@
+//! HTTP/1.1 over blocking sockets, for both sides.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// The most bytes of a request's or response's head.
+const HEAD_LIMIT: usize = 16 * 1024;
+const MOST_HEADERS: usize = 48;
+
+/// A message's head as far as it matters here.
+#[derive(Debug, PartialEq)]
+pub struct Head {
+    pub method: String,
+    pub path: String,
+    pub status: u16,
+    pub length: Option<usize>,
+    pub chunked: bool,
+    pub close: bool,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("not HTTP: {0}")]
+    Malformed(String),
+    #[error("too large")]
+    TooLarge,
+    #[error("closed")]
+    Closed,
+}
+
+/// Reads a head from the front of `bytes`: its length, or none if it is not
+/// whole yet.
+pub fn parse_head(bytes: &[u8], request: bool) -> Result<Option<(Head, usize)>, HttpError> {
+    let malformed = |e: httparse::Error| HttpError::Malformed(e.to_string());
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let (mut head, used, version) = if request {
+        let mut parsed = httparse::Request::new(&mut headers);
+        let httparse::Status::Complete(used) = parsed.parse(bytes).map_err(malformed)? else {
+            return too_long(bytes);
+        };
+        let method = parsed.method.unwrap_or("").to_string();
+        let path = parsed.path.unwrap_or("").to_string();
+        (Head { method, path, status: 0, length: None, chunked: false, close: false }, used, parsed.version)
+    } else {
+        let mut parsed = httparse::Response::new(&mut headers);
+        let httparse::Status::Complete(used) = parsed.parse(bytes).map_err(malformed)? else {
+            return too_long(bytes);
+        };
+        let status = parsed.code.unwrap_or(0);
+        let head =
+            Head { method: String::new(), path: String::new(), status, length: None, chunked: false, close: false };
+        (head, used, parsed.version)
+    };
+    head.close = version == Some(0);
+    for header in headers.iter().take_while(|h| !h.name.is_empty()) {
+        let value = std::str::from_utf8(header.value).unwrap_or("").trim();
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let length = value.parse().map_err(|_| HttpError::Malformed("content-length".into()))?;
+            if head.length.is_some_and(|l| l != length) {
+                return Err(HttpError::Malformed("content-length twice".into()));
+            }
+            head.length = Some(length);
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            head.chunked = value.to_ascii_lowercase().contains("chunked");
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            head.close |= value.eq_ignore_ascii_case("close");
+        }
+    }
+    Ok(Some((head, used)))
+}
+
+fn too_long(bytes: &[u8]) -> Result<Option<(Head, usize)>, HttpError> {
+    if bytes.len() > HEAD_LIMIT {
+        Err(HttpError::TooLarge)
+    } else {
+        Ok(None)
+    }
+}
+
+/// A connection with what was read but not used yet.
+pub struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Connection {
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Connection { stream, buffer: Vec::new() }
+    }
+
+    /// Reads more by `deadline`.
+    fn fill(&mut self, deadline: Instant) -> Result<(), HttpError> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::Error::from(io::ErrorKind::TimedOut).into());
+        }
+        self.stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+        let mut piece = [0u8; 4096];
+        match self.stream.read(&mut piece) {
+            Ok(0) => Err(HttpError::Closed),
+            Ok(n) => {
+                self.buffer.extend_from_slice(&piece[..n]);
+                Ok(())
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(()),
+            Err(e) => Err(e.into()),
+        }
+    }
+
+    /// Reads one message. A new one may take `idle` to begin, and `whole` to
+    /// come in once it has.
+    pub fn read(
+        &mut self,
+        request: bool,
+        idle: Duration,
+        whole: Duration,
+        limit: usize,
+    ) -> Result<(Head, Vec<u8>), HttpError> {
+        if self.buffer.is_empty() {
+            self.fill(Instant::now() + idle)?;
+        }
+        let deadline = Instant::now() + whole;
+        let (head, used) = loop {
+            match parse_head(&self.buffer, request)? {
+                Some(found) => break found,
+                None => self.fill(deadline)?,
+            }
+        };
+        self.buffer.drain(..used);
+        let body = if head.chunked {
+            self.read_chunks(deadline, limit)?
+        } else {
+            let length = match head.length {
+                Some(length) => length,
+                None if request || head.status == 204 => 0,
+                None => return Err(HttpError::Malformed("no length".into())),
+            };
+            if length > limit {
+                return Err(HttpError::TooLarge);
+            }
+            while self.buffer.len() < length {
+                self.fill(deadline)?;
+            }
+            self.buffer.drain(..length).collect()
+        };
+        if self.buffer.is_empty() {
+            // Idle connections hold no memory.
+            self.buffer = Vec::new();
+        }
+        Ok((head, body))
+    }
+
+    fn read_chunks(&mut self, deadline: Instant, limit: usize) -> Result<Vec<u8>, HttpError> {
+        let mut body = vec![];
+        loop {
+            let (start, size) = loop {
+                match httparse::parse_chunk_size(&self.buffer) {
+                    Ok(httparse::Status::Complete(found)) => break found,
+                    Ok(httparse::Status::Partial) if self.buffer.len() < HEAD_LIMIT + limit => self.fill(deadline)?,
+                    _ => return Err(HttpError::Malformed("chunk".into())),
+                }
+            };
+            let size = usize::try_from(size).map_err(|_| HttpError::TooLarge)?;
+            if size > limit || body.len() + size > limit {
+                return Err(HttpError::TooLarge);
+            }
+            while self.buffer.len() < start + size + 2 {
+                self.fill(deadline)?;
+            }
+            body.extend_from_slice(&self.buffer[start..start + size]);
+            self.buffer.drain(..start + size + 2);
+            if size == 0 {
+                return Ok(body);
+            }
+        }
+    }
+
+    pub fn write(&mut self, bytes: &[u8], timeout: Duration) -> Result<(), HttpError> {
+        self.stream.set_write_timeout(Some(timeout))?;
+        self.stream.write_all(bytes)?;
+        Ok(())
+    }
+}
+
+/// A client of one server that keeps its connection open between calls.
+pub struct Client {
+    addr: SocketAddr,
+    connection: Option<Connection>,
+}
+
+/// The most bytes of an answer; the state service's watches have no limit of
+/// their own.
+const ANSWER_LIMIT: usize = 8 * 1024 * 1024;
+
+impl Client {
+    pub fn new(addr: SocketAddr) -> Self {
+        Client { addr, connection: None }
+    }
+
+    /// Makes a call; any error means that it may or may not be carried out.
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        timeout: Duration,
+    ) -> Result<(u16, Vec<u8>), HttpError> {
+        let mut connection = match self.connection.take() {
+            Some(open) => open,
+            None => Connection::new(TcpStream::connect_timeout(&self.addr, timeout.min(Duration::from_secs(1)))?),
+        };
+        let mut bytes = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            self.addr,
+            body.len()
+        )
+        .into_bytes();
+        bytes.extend_from_slice(body);
+        connection.write(&bytes, timeout)?;
+        let (head, body) = connection.read(false, timeout, timeout, ANSWER_LIMIT)?;
+        if !head.close {
+            self.connection = Some(connection);
+        }
+        Ok((head.status, body))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn heads_are_read() {
+        let bytes = b"POST /hello HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
+        let (head, used) = parse_head(bytes, true).unwrap().unwrap();
+        assert_eq!((head.method.as_str(), head.path.as_str()), ("POST", "/hello"));
+        assert_eq!((head.length, head.close, bytes.len() - used), (Some(2), true, 2));
+        assert!(parse_head(&bytes[..20], true).unwrap().is_none());
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(13), failure_persistence: None, ..Default::default() })]
+        #[test]
+        fn garbage_never_panics(bytes in proptest::collection::vec(any::<u8>(), 0..400), request in any::<bool>()) {
+            let _ = parse_head(&bytes, request);
+        }
+    }
+}
