--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -5,7 +5,7 @@
     AllowanceRecord, End, FleetRecord, HolderRecord, JobRecord, Key, NodeRecord, SliceRecord, TaskRecord,
 };
 use crate::protocol::cloud::Catalog;
-use crate::units::{JobRef, NodeName, PartId, Revision};
+use crate::units::{Attempt, JobRef, NodeName, PartId, Revision};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -49,11 +49,16 @@
 impl Slice {
     /// True if the owner has changes that are not durable yet.
     pub fn dirty(&self) -> bool {
-        self.want.is_some() && self.want != self.held.record
+        match (&self.want, &self.held.record) {
+            (None, _) => false,
+            // An untouched slice needs no record: it may still be dealt elsewhere.
+            (Some(want), None) => want.tasks.iter().any(|t| *t != TaskRecord::Idle(Attempt(0))),
+            (Some(want), Some(held)) => want != held,
+        }
     }
-    /// True if the slice never had a task on a machine.
-    pub fn untouched(&self) -> bool {
-        self.held.record.is_none()
+    /// True if no task of the slice can be on a machine: it may be dealt anew.
+    pub fn movable(&self) -> bool {
+        self.held.record.as_ref().is_none_or(|r| !r.any_on() && !r.is_done())
     }
 }
 
--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -47,6 +47,9 @@
     gone: BTreeSet<MachineId>,
 }
 
+/// GPUs or not, machine types, zone, and whether spot machines will do.
+type Constraints = (bool, Option<Vec<String>>, Option<String>, bool);
+
 /// Cores that a group of jobs with the same constraints wants.
 struct Demand {
     cpus: f64,
@@ -179,7 +182,7 @@
     /// the time it has, in waves where there is time for several.
     fn demand(&self) -> Vec<Demand> {
         let boot = self.catalog.values().map(|t| t.boot_s).fold(0.0, f64::max);
-        let mut groups: BTreeMap<(bool, Option<Vec<String>>, Option<String>, bool), Demand> = BTreeMap::new();
+        let mut groups: BTreeMap<Constraints, Demand> = BTreeMap::new();
         for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id) else { continue };
             let spec = &job.record.spec;
@@ -442,7 +445,9 @@
         let mut drain = vec![];
         let mut order: Vec<(&MachineId, &Owned)> = self.cloud.machines.iter().collect();
         let price = |m: &Owned| {
-            self.catalog.get(&m.kind).map_or(0.0, |t| if m.spot { t.spot_price.unwrap_or(t.price) } else { t.price } / t.cpus)
+            self.catalog
+                .get(&m.kind)
+                .map_or(0.0, |t| if m.spot { t.spot_price.unwrap_or(t.price) } else { t.price } / t.cpus)
         };
         order.sort_by(|a, b| price(b.1).total_cmp(&price(a.1)));
         for (name, owned) in order {
--- a/src/coordination/leading.rs
+++ b/src/coordination/leading.rs
@@ -100,14 +100,14 @@
         Room { machines }
     }
 
-    /// Deals new large arrays, and moves untouched slices from parts without
+    /// Deals new large arrays, and moves idle slices from parts without
     /// room for them to parts with.
     fn deal(&mut self) {
         let mut jobs: Vec<(i64, JobRef)> = vec![];
         for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id) else { continue };
-            let untouched = job.slices.iter().any(|s| s.untouched());
-            if job.record.end.is_none() && (job.record.plan.is_none() || untouched) {
+            let movable = job.slices.iter().any(|s| s.movable());
+            if job.record.end.is_none() && (job.record.plan.is_none() || movable) {
                 jobs.push((((self.allowed_s(job) - self.age_s(job)) * 1000.0) as i64, id.clone()));
             }
         }
@@ -137,8 +137,9 @@
                 Condition { key: LEADER_KEY.into(), version: self.view.leader.version },
                 Condition { key: key.clone(), version: job.version },
             ];
-            // A slice that a task of has started meanwhile must not move.
-            conditions.extend(moved.iter().map(|&s| Condition { key: slice_key(&id, s), version: Revision(0) }));
+            // A slice of which a task has started meanwhile must not move.
+            let version = |s: usize| job.slices.get(s).map_or(Revision(0), |slice| slice.held.version);
+            conditions.extend(moved.iter().map(|&s| Condition { key: slice_key(&id, s), version: version(s) }));
             let record = JobRecord { plan: Some(plan), ..job.record.clone() };
             if let Ok(value) = serde_json::to_value(record) {
                 writes += 1;
@@ -199,7 +200,7 @@
         // At most as many conditions as one transaction may have.
         let most = self.settings.cluster.state.txn_ops * 4 - 4;
         for slice in 0..plan.parts.len().min(MOST_SLICES) {
-            if !job.slices.get(slice).is_some_and(|s| s.untouched()) {
+            if !job.slices.get(slice).is_some_and(|s| s.movable()) {
                 continue;
             }
             let tasks = plan.len(slice, job.record.spec.tasks);
@@ -232,7 +233,7 @@
     fn move_whole(&self, job: &Job, mut plan: Plan, room: &mut Room) -> (Plan, Option<Vec<usize>>) {
         let tasks = job.record.spec.tasks as usize;
         let all: Vec<usize> = (0..plan.parts.len()).collect();
-        let movable = job.slices.iter().all(|s| s.untouched())
+        let movable = job.slices.iter().all(|s| s.movable())
             && all.len() <= self.settings.cluster.state.txn_ops * 4 - 4
             && self.age_s(job) > 2.0;
         let Some(&part) = plan.parts.first().filter(|_| movable) else { return (plan, None) };
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -202,7 +202,7 @@
     }
 
     fn claim_parts(&mut self, lease: LeaseId) {
-        if !self.view.nodes.get(&self.me).is_some_and(|h| h.record.is_some()) {
+        if self.view.nodes.get(&self.me).is_none_or(|h| h.record.is_none()) {
             return;
         }
         for (part, target) in self.live_targets() {
@@ -324,11 +324,15 @@
         PartLoad {
             part: part.0,
             token: mine.token.0,
-            teams: mine.wanted.iter().map(|(team, want)| crate::protocol::peer::TeamUse {
-                team: team.clone(),
-                wanted_cpus: want.0,
-                wanted_gpus: want.1,
-            }).collect(),
+            teams: mine
+                .wanted
+                .iter()
+                .map(|(team, want)| crate::protocol::peer::TeamUse {
+                    team: team.clone(),
+                    wanted_cpus: want.0,
+                    wanted_gpus: want.1,
+                })
+                .collect(),
             leaving: mine.machines.iter().filter(|(_, m)| m.notice.is_some()).map(|(n, _)| n.to_string()).collect(),
         }
     }
@@ -343,7 +347,13 @@
                 .map(|(name, m)| MachineAge { machine: name.to_string(), age_s: self.now.since(m.born).as_secs() })
                 .collect();
         }
-        note.faulty = self.mine.values().flat_map(|m| &m.machines).filter(|(_, m)| m.faulty).map(|(n, _)| n.to_string()).collect();
+        note.faulty = self
+            .mine
+            .values()
+            .flat_map(|m| &m.machines)
+            .filter(|(_, m)| m.faulty)
+            .map(|(n, _)| n.to_string())
+            .collect();
         self.out.push(Output::Tell(note));
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -64,11 +64,23 @@
 /// The answer to a user.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Reply {
-    Job { status: u16, id: JobRef, state: crate::protocol::users::JobState, counts: Option<(u32, u32)> },
-    Problem { status: u16, reason: String, retry_after_s: Option<u32> },
+    Job {
+        status: u16,
+        id: JobRef,
+        state: crate::protocol::users::JobState,
+        counts: Option<(u32, u32)>,
+    },
+    Problem {
+        status: u16,
+        reason: String,
+        retry_after_s: Option<u32>,
+    },
     Up,
     /// Commands for a worker.
-    Commands { token: Token, commands: Vec<Command> },
+    Commands {
+        token: Token,
+        commands: Vec<Command>,
+    },
     /// The worker should report to this node, or look on.
     Elsewhere(Option<NodeName>),
 }
@@ -126,24 +138,57 @@
 /// What a call's answer will be used for.
 #[derive(Debug)]
 enum Pending {
-    Load { seen: BTreeSet<String>, first: Option<Revision> },
+    Load {
+        seen: BTreeSet<String>,
+        first: Option<Revision>,
+    },
     Watch,
     Grant,
     Renew(LeaseId),
     /// A transaction whose outcome the watch or a conflict read shows.
     Simple(Txn),
-    PartTxn { part: PartId, txn: Txn },
+    PartTxn {
+        part: PartId,
+        txn: Txn,
+    },
     /// Reads a key that a conflict named.
-    Reread { key: String, part: Option<PartId> },
-    SubmitWrite { request: RequestId, txn: Txn, spec: Box<JobSpec> },
-    SubmitRead { request: RequestId, fresh: bool },
-    Query { request: RequestId, job: JobRef },
-    CancelRead { request: RequestId, job: JobRef, tries: u32 },
-    CancelWrite { request: RequestId, job: JobRef, txn: Txn, tries: u32 },
-    RentName { rent: buying::Rent, txn: Txn },
+    Reread {
+        key: String,
+        part: Option<PartId>,
+    },
+    SubmitWrite {
+        request: RequestId,
+        txn: Txn,
+        spec: Box<JobSpec>,
+    },
+    SubmitRead {
+        request: RequestId,
+        fresh: bool,
+    },
+    Query {
+        request: RequestId,
+        job: JobRef,
+    },
+    CancelRead {
+        request: RequestId,
+        job: JobRef,
+        tries: u32,
+    },
+    CancelWrite {
+        request: RequestId,
+        job: JobRef,
+        txn: Txn,
+        tries: u32,
+    },
+    RentName {
+        rent: buying::Rent,
+        txn: Txn,
+    },
     Rent(buying::Rent),
     Return(Vec<MachineId>),
-    List { seen: Vec<crate::protocol::cloud::Listed> },
+    List {
+        seen: Vec<crate::protocol::cloud::Listed>,
+    },
     Catalog,
 }
 
--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -295,7 +295,11 @@
     fn flush(&mut self, part: PartId) {
         let level = self.writes.level(self.now).floor();
         let Some(mine) = self.mine.get(&part) else { return };
-        if !mine.ready || mine.inflight.is_some() || mine.rereads > 0 || self.now < mine.retry_at || mine.dirty.is_empty()
+        if !mine.ready
+            || mine.inflight.is_some()
+            || mine.rereads > 0
+            || self.now < mine.retry_at
+            || mine.dirty.is_empty()
         {
             return;
         }
@@ -338,7 +342,7 @@
                 if let Ok(value) = serde_json::to_value(record) {
                     bytes += 800;
                     txn.changes.push(Change::put(job_key(&id), value));
-                    if !job.slices[index].untouched() {
+                    if job.slices[index].held.record.is_some() {
                         txn.changes.push(Change::delete(slice_key(&id, index)));
                     }
                 }
@@ -462,7 +466,8 @@
         let own = mine.wanted.get(team).copied().unwrap_or_default();
         let token = mine.token;
         let spare = |limit: Option<f64>, used: f64, own: f64| limit.map_or(0.0, |l| (l - used - own).max(0.0));
-        let gift = (spare(limit.0, used.0, own.0).min(want.0).floor(), spare(limit.1, used.1, own.1).min(want.1).floor());
+        let gift =
+            (spare(limit.0, used.0, own.0).min(want.0).floor(), spare(limit.1, used.1, own.1).min(want.1).floor());
         if gift.0 <= 0.0 && gift.1 <= 0.0 {
             return false;
         }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -62,6 +62,7 @@
 }
 
 /// A machine as one round sees it.
+#[derive(Clone)]
 struct Seat<'a> {
     name: &'a MachineId,
     machine: &'a Machine,
@@ -177,7 +178,7 @@
                     let Some(job) = self.view.jobs.get(&key.0) else { continue };
                     let spec = &job.record.spec;
                     let rest = self.rest_of(mine, job, key);
-                    if !faulty && spec.kind == JobKind::Array && rest + 0.5 < left {
+                    if !faulty && spec.kind != JobKind::Standing && rest + 0.5 < left {
                         continue;
                     }
                     let saves = spec.checkpoint_s > 0.0;
@@ -309,7 +310,7 @@
                 let Some(job) = self.view.jobs.get(&key.0) else { continue };
                 let need = needs(&job.record);
                 shift(&mut free, &need, -1.0);
-                if job.record.spec.kind == JobKind::Array {
+                if job.record.spec.kind != JobKind::Standing {
                     ends.push((self.rest_of(mine, job, key), need));
                 }
             }
@@ -340,6 +341,12 @@
             let Some(job) = self.view.jobs.get(id) else { continue };
             let need = needs(&job.record);
             let limits = self.allowance(part, &job.record.spec.team);
+            let gang = job.record.spec.kind == JobKind::Gang;
+            if gang && self.any_on(job) {
+                // What is left of an earlier try must be gone first.
+                continue;
+            }
+            let before = (places.len(), gang.then(|| (seats.clone(), used.clone())));
             let mut spread = self.spread(part, id, job);
             let mut scores: Vec<Option<(f64, f64)>> = vec![None; seats.len()];
             let mut full = false;
@@ -352,7 +359,7 @@
                 let first = job.record.plan.as_ref().map_or(0, |p| p.first_task(index));
                 for (at, task) in want.tasks.iter().enumerate() {
                     let TaskRecord::Idle(attempt) = task else { continue };
-                    if full || places.len() >= self.tuning.round_limit {
+                    if full || (!gang && places.len() >= self.tuning.round_limit) {
                         break;
                     }
                     let team = used.entry(job.record.spec.team.clone()).or_default();
@@ -361,6 +368,7 @@
                         let lack = wanted.entry(job.record.spec.team.clone()).or_default();
                         lack.0 += need[0];
                         lack.1 += need[1];
+                        full |= gang;
                         continue;
                     }
                     match self.best_seat(&seats, job, &need, &spread, &mut scores) {
@@ -370,7 +378,7 @@
                             scores[seat] = None;
                             if wait > 0.0 {
                                 waits += 1;
-                                full = waits >= MOST_WAITS;
+                                full = gang || waits >= MOST_WAITS;
                                 continue;
                             }
                             team.0 += need[0];
@@ -385,6 +393,12 @@
                     }
                 }
             }
+            if let (true, (count, Some((seats_before, used_before)))) = (full, before) {
+                // Not all of the gang can start now: none does.
+                places.truncate(count);
+                seats = seats_before;
+                used = used_before;
+            }
         }
         drop(seats);
         for (key, attempt, machine) in places {
@@ -395,6 +409,10 @@
         }
     }
 
+    fn any_on(&self, job: &Job) -> bool {
+        job.slices.iter().any(|s| s.want.as_ref().or(s.held.record.as_ref()).is_some_and(|r| r.any_on()))
+    }
+
     fn spread(&self, part: PartId, id: &JobRef, job: &Job) -> Spread {
         let mut spread = Spread::default();
         if !job.record.spec.one_zone && !job.record.spec.apart {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -24,10 +24,8 @@
     /// if nobody seems to reach them: then it is not this node's trouble.
     fn can_take(&self) -> bool {
         let reached = self.last_state_answer.is_some_and(|at| self.now.since(at) < Span(3000));
-        let others_reach = self
-            .peers
-            .values()
-            .any(|p| p.state_reachable && p.heard.is_some_and(|at| self.now.since(at) < Span(3000)));
+        let others_reach =
+            self.peers.values().any(|p| p.state_reachable && p.heard.is_some_and(|at| self.now.since(at) < Span(3000)));
         self.loaded && !self.catalog.is_empty() && (reached || !others_reach)
     }
 
@@ -124,7 +122,7 @@
         if !fits {
             return Some("a task fits no allowed machine type".into());
         }
-        let count = if spec.kind == JobKind::Standing { f64::from(spec.tasks) } else { 1.0 };
+        let count = if spec.kind != JobKind::Array { f64::from(spec.tasks) } else { 1.0 };
         let over = |max: f64, each: f64| max > 0.0 && each * count > max + 1e-9;
         if over(team.cpus_max, spec.cpus) || over(team.gpus_max, spec.gpus) {
             return Some("more than the team's limit".into());
@@ -219,10 +217,8 @@
         let record = JobRecord { end: Some(End::Cancelled), ..record };
         let key = job_key(&id);
         let Ok(value) = serde_json::to_value(record) else { return };
-        let txn = Txn {
-            conditions: vec![Condition { key: key.clone(), version }],
-            changes: vec![Change::put(key, value)],
-        };
+        let txn =
+            Txn { conditions: vec![Condition { key: key.clone(), version }], changes: vec![Change::put(key, value)] };
         self.reads.force(self.now, 1.0);
         self.writes.force(self.now, 1.0);
         self.call_state(StateCall::Txn(txn.clone()), Pending::CancelWrite { request, job, txn, tries: tries - 1 });
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -92,9 +92,7 @@
         }
         for task in &report.tasks {
             let key = (task.task.job.clone(), task.task.index);
-            let holds = |record: Option<&TaskRecord>| {
-                matches!(record, Some(TaskRecord::On(a, m)) if *a == task.attempt && *m == report.machine)
-            };
+            let holds = |record: Option<&TaskRecord>| matches!(record, Some(TaskRecord::On(a, m)) if *a == task.attempt && *m == report.machine);
             let wanted = holds(self.wanted(&key));
             let durable = holds(self.durable(&key));
             let name = task.task.clone();
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -184,7 +184,9 @@
                     StateAnswer::Rejected(text.chars().take(200).collect())
                 }
             }
-            (StateCall::Grant { .. }, 200 | 201) => read(body, |granted: LeaseGranted| StateAnswer::Granted(granted.lease)),
+            (StateCall::Grant { .. }, 200 | 201) => {
+                read(body, |granted: LeaseGranted| StateAnswer::Granted(granted.lease))
+            }
             (StateCall::Renew { .. }, 200) => StateAnswer::Renewed,
             (StateCall::Renew { .. }, 404) => StateAnswer::LeaseGone,
             (StateCall::Watch { .. }, 200) => read(body, StateAnswer::Events),
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -21,6 +21,9 @@
     Array,
     #[serde(rename = "standing")]
     Standing,
+    /// Tasks that start together or not at all.
+    #[serde(rename = "ensemble")]
+    Gang,
 }
 
 /// A job as its user describes it.
@@ -132,7 +135,7 @@
 
     /// True if all tasks must be decided on in one place.
     pub fn whole(&self) -> bool {
-        self.one_zone || self.apart || self.kind == JobKind::Standing
+        self.one_zone || self.apart || self.kind != JobKind::Array
     }
 }
 
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -91,6 +91,9 @@
     Busy,
     #[serde(rename = "no_such")]
     Unknown,
+    /// A task of the same gang ended, or did not come in time.
+    #[serde(rename = "peers", alias = "incomplete")]
+    Peers,
     #[serde(other, rename = "other")]
     Other,
 }
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -54,7 +54,11 @@
 }
 
 /// Starts the thread; what is put into the returned channel goes to all peers.
-pub fn start(listen: SocketAddr, peers: Vec<SocketAddr>, engine: SyncSender<Event>) -> std::io::Result<watch::Sender<Note>> {
+pub fn start(
+    listen: SocketAddr,
+    peers: Vec<SocketAddr>,
+    engine: SyncSender<Event>,
+) -> std::io::Result<watch::Sender<Note>> {
     let (notes, told) = watch::channel(Note::default());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
     std::thread::Builder::new().name("peers".into()).stack_size(STACK).spawn(move || {
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -106,7 +106,13 @@
     }
 }
 
-fn write(connection: &mut Connection, status: u16, body: &str, retry: Option<u32>, close: bool) -> Result<(), HttpError> {
+fn write(
+    connection: &mut Connection,
+    status: u16,
+    body: &str,
+    retry: Option<u32>,
+    close: bool,
+) -> Result<(), HttpError> {
     let retry = retry.map(|s| format!("Retry-After: {s}\r\n")).unwrap_or_default();
     let close = if close { "Connection: close\r\n" } else { "" };
     let text = format!(
