--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -54,6 +54,9 @@
 struct Demand {
     cpus: f64,
     shape: [f64; 3],
+    /// Image size and run time, weighted by cores.
+    fetch_gb: f64,
+    run_s: f64,
     types: Option<Vec<String>>,
     zone: Option<String>,
     spot: bool,
@@ -178,10 +181,12 @@
         }
     }
 
-    /// Cores wanted: those in use, and for what waits as many as finish it in
-    /// the time it has, in waves where there is time for several.
+    /// Cores wanted over the time a new machine takes to be of use: for each
+    /// task the share of that time it needs a core, waiting work spread over
+    /// the time it has left. What ends sooner frees room by itself.
     fn demand(&self) -> Vec<Demand> {
         let boot = self.catalog.values().map(|t| t.boot_s).fold(0.0, f64::max);
+        let ahead = boot + 10.0;
         let mut groups: BTreeMap<Constraints, Demand> = BTreeMap::new();
         for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id) else { continue };
@@ -189,11 +194,15 @@
             let (done, on) = job.counts();
             let waiting = if job.record.end.is_some() { 0 } else { spec.tasks.saturating_sub(done + on) };
             let run = self.learned.run_time(&spec.class, spec.estimate_s).max(1.0);
-            let left = self.allowed_s(job) - self.age_s(job) - boot * 0.5;
-            let waves = if spec.kind == JobKind::Array { (left / (run + 3.0)).floor().clamp(1.0, 6.0) } else { 1.0 };
+            let left = self.allowed_s(job) - self.age_s(job);
+            let (share_on, share_waiting) = if spec.kind == JobKind::Array {
+                ((run * 0.6 / ahead).min(1.0), (run / (left - 5.0).max(ahead)).min(1.0))
+            } else {
+                (1.0, 1.0)
+            };
             let team = self.settings.cluster.teams.iter().find(|t| t.name == spec.team);
             let cap = team.map_or(0.0, |t| t.cpus_max);
-            let mut cpus = f64::from(on) * spec.cpus + f64::from(waiting) * spec.cpus / waves;
+            let mut cpus = (f64::from(on) * share_on + f64::from(waiting) * share_waiting) * spec.cpus;
             if cap > 0.0 {
                 cpus = cpus.min(cap);
             }
@@ -201,11 +210,15 @@
             let group = groups.entry(key).or_insert(Demand {
                 cpus: 0.0,
                 shape: [0.0; 3],
+                fetch_gb: 0.0,
+                run_s: 0.0,
                 types: spec.types.clone(),
                 zone: spec.zone.clone(),
                 spot: spec.spot,
             });
             group.cpus += cpus;
+            group.fetch_gb += cpus * spec.image_gb;
+            group.run_s += cpus * run;
             for (most, need) in group.shape.iter_mut().zip([spec.cpus, spec.gpus, spec.mem_gb]) {
                 *most = most.max(need);
             }
@@ -273,7 +286,10 @@
                         let each = (t.cpus / group.shape[0].max(1e-3)).min(t.mem_gb / group.shape[2].max(1e-3));
                         let useful = (each.floor() * group.shape[0]).clamp(t.cpus * 0.3, t.cpus);
                         let count = (lack / useful).ceil().clamp(1.0, f64::from(RENT_LIMIT));
-                        let cost = count * price / (count * useful).min(lack);
+                        // Time lost to fetching images, some of which are shared.
+                        let fetch = if t.fetch_gb_per_s > 0.0 { group.fetch_gb / t.fetch_gb_per_s } else { 0.0 };
+                        let slow = 1.0 + 0.5 * fetch / group.run_s.max(1e-6);
+                        let cost = count * price * slow / (count * useful).min(lack);
                         if best.as_ref().is_none_or(|b| cost < b.0) {
                             let request = RentRequest {
                                 request: String::new(),
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -14,6 +14,10 @@
 /// Tasks of one job that a round looks at to find that they wait.
 const MOST_WAITS: usize = 32;
 
+/// Expected completions that differ by less than this share of the run time
+/// count as equal.
+const NEAR: f64 = 0.08;
+
 /// Kind, spot and zone: machines that share a history.
 type Family = (String, bool, String);
 
@@ -68,6 +72,8 @@
     machine: &'a Machine,
     type_: &'a MachineType,
     age_s: f64,
+    /// Price per core.
+    price: f64,
     free: [f64; 3],
     /// What running tasks will free, by when.
     ends: Vec<(f64, [f64; 3])>,
@@ -324,7 +330,9 @@
             }
             ends.sort_by(|a, b| a.0.total_cmp(&b.0));
             let age_s = self.now.since(machine.born).as_secs();
-            seats.push(Seat { name, machine, type_, age_s, free, ends });
+            let price = if machine.spot { type_.spot_price.unwrap_or(type_.price) } else { type_.price };
+            let price = price / type_.cpus.max(1e-6);
+            seats.push(Seat { name, machine, type_, age_s, price, free, ends });
         }
         seats
     }
@@ -446,7 +454,7 @@
         }
         let spec = &job.record.spec;
         let run_s = self.learned.run_time(&spec.class, spec.estimate_s);
-        let mut best: Option<(f64, f64, usize, f64, f64)> = None;
+        let mut best: Option<((f64, f64, f64), usize, f64, f64)> = None;
         for (index, seat) in seats.iter().enumerate() {
             if !self.allowed(job, seat, spread) {
                 continue;
@@ -466,14 +474,16 @@
             if spec.kind == JobKind::Standing {
                 return Some((index, 0.0, 1e9));
             }
-            // Among equals the fullest, so that others can be given back.
-            let rounded = (score * 2.0).round();
-            let better = best.is_none_or(|b| (rounded, seat.free[0]) < (b.0, b.1));
+            // Among near equals the cheapest, then the fullest, so that others
+            // can be given back.
+            let rounded = (score / (0.5 + run_s * NEAR)).round();
+            let rank = (rounded, (seat.price * 1000.0).round(), seat.free[0]);
+            let better = best.is_none_or(|b| rank < b.0);
             if better {
-                best = Some((rounded, seat.free[0], index, wait, run_s));
+                best = Some((rank, index, wait, run_s));
             }
         }
-        best.map(|(_, _, index, wait, run)| (index, wait, run + self.fetch_s(&seats[index], job)))
+        best.map(|(_, index, wait, run)| (index, wait, run + self.fetch_s(&seats[index], job)))
     }
 
     fn allowed(&self, job: &Job, seat: &Seat, spread: &Spread) -> bool {
