--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -196,7 +196,11 @@
             let run = self.learned.run_time(&spec.class, spec.estimate_s).max(1.0);
             let left = self.allowed_s(job) - self.age_s(job);
             let (share_on, share_waiting) = if spec.kind == JobKind::Array {
-                ((run * 0.6 / ahead).min(1.0), (run / (left - 5.0).max(ahead)).min(1.0))
+                {
+                // Tasks one after the other that fit into the time left.
+                let waves = ((left - 5.0) / (run * 1.2 + 5.0)).floor().max(1.0);
+                ((run * 0.6 / ahead).min(1.0), (run / ahead).min(1.0) / waves)
+            }
             } else {
                 (1.0, 1.0)
             };
