--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -227,6 +227,11 @@
                 *most = most.max(need);
             }
         }
+        // Headroom for what must start at once, in every part.
+        if let Some(group) = groups.values_mut().max_by(|a, b| a.cpus.total_cmp(&b.cpus)) {
+            let each = group.cpus / f64::from(self.parts);
+            group.cpus += self.reserve(each) * f64::from(self.parts);
+        }
         let mut demand: Vec<Demand> = groups.into_values().filter(|d| d.cpus > 0.0).collect();
         // The most constrained first: they take the machines that suit them.
         demand.sort_by_key(|d| (d.types.is_none(), d.zone.is_none(), d.spot));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 mod leading;
 mod membership;
 mod part;
+mod preempting;
 mod rounds;
 pub mod scoring;
 mod users;
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -18,6 +18,16 @@
 /// count as equal.
 const NEAR: f64 = 0.08;
 
+/// The largest share of a part that is kept free.
+const MOST_RESERVED: f64 = 0.12;
+
+/// A job whose tasks found no room in a round, and when there may be some.
+pub(super) struct Short {
+    pub job: JobRef,
+    pub tasks: usize,
+    pub wait_s: f64,
+}
+
 /// Kind, spot and zone: machines that share a history.
 type Family = (String, bool, String);
 
@@ -28,6 +38,8 @@
     histories: BTreeMap<Family, History>,
     /// Per class: mean logarithm of actual over estimated run time, and weight.
     ratios: BTreeMap<String, (f64, f64)>,
+    /// Per class that must start at once: mean cores of a job, and weight.
+    job_cpus: BTreeMap<String, (f64, f64)>,
     /// Per job: machines it failed on lately, and when it may be tried again.
     failing: BTreeMap<JobRef, (BTreeSet<MachineId>, Time)>,
 }
@@ -59,6 +71,12 @@
         entry.1 = (entry.1 + 1.0).min(100.0);
     }
 
+    pub fn saw_job(&mut self, class: &str, cpus: f64) {
+        let mean = self.job_cpus.entry(class.to_string()).or_insert((0.0, 0.0));
+        mean.1 = (mean.1 + 1.0).min(30.0);
+        mean.0 += (cpus - mean.0) / mean.1;
+    }
+
     /// The owner's estimate, corrected by what its class has shown.
     pub fn run_time(&self, class: &str, estimate_s: f64) -> f64 {
         estimate_s * self.ratios.get(class).map_or(1.0, |r| r.0.exp())
@@ -67,27 +85,27 @@
 
 /// A machine as one round sees it.
 #[derive(Clone)]
-struct Seat<'a> {
-    name: &'a MachineId,
-    machine: &'a Machine,
+pub(super) struct Seat<'a> {
+    pub name: &'a MachineId,
+    pub machine: &'a Machine,
     type_: &'a MachineType,
     age_s: f64,
     /// Price per core.
     price: f64,
-    free: [f64; 3],
+    pub free: [f64; 3],
     /// What running tasks will free, by when.
     ends: Vec<(f64, [f64; 3])>,
 }
 
-fn needs(record: &JobRecord) -> [f64; 3] {
+pub(super) fn needs(record: &JobRecord) -> [f64; 3] {
     [record.spec.cpus, record.spec.gpus, record.spec.mem_gb]
 }
 
-fn fits(free: &[f64; 3], need: &[f64; 3]) -> bool {
+pub(super) fn fits(free: &[f64; 3], need: &[f64; 3]) -> bool {
     free.iter().zip(need).all(|(f, n)| *f + 1e-6 >= *n)
 }
 
-fn shift(free: &mut [f64; 3], by: &[f64; 3], sign: f64) {
+pub(super) fn shift(free: &mut [f64; 3], by: &[f64; 3], sign: f64) {
     free.iter_mut().zip(by).for_each(|(f, b)| *f += sign * b);
 }
 
@@ -123,7 +141,7 @@
 
 /// Where a job's tasks are, for those that must stay together or apart.
 #[derive(Default)]
-struct Spread {
+pub(super) struct Spread {
     by_zone: BTreeMap<String, usize>,
     unknown: bool,
 }
@@ -203,7 +221,7 @@
     }
 
     /// Time a placed task still needs, its image included.
-    fn rest_of(&self, mine: &Mine, job: &Job, key: &TaskKey) -> f64 {
+    pub(super) fn rest_of(&self, mine: &Mine, job: &Job, key: &TaskKey) -> f64 {
         let spec = &job.record.spec;
         let estimate = self.learned.run_time(&spec.class, spec.estimate_s);
         match mine.running_since.get(key) {
@@ -296,7 +314,7 @@
         within
     }
 
-    fn seats<'a>(&'a self, part: PartId) -> Vec<Seat<'a>> {
+    pub(super) fn seats<'a>(&'a self, part: PartId) -> Vec<Seat<'a>> {
         let Some(mine) = self.mine.get(&part) else { return vec![] };
         let quiet = Span(self.timing.worker_lease.0 / 3);
         let mut seats = vec![];
@@ -342,6 +360,9 @@
         let mut wanted: BTreeMap<String, (f64, f64)> = BTreeMap::new();
         let mut used = self.mine.get(&part).map(|m| m.used.clone()).unwrap_or_default();
         let mut seats = self.seats(part);
+        let reserve = self.reserve(seats.iter().map(|s| s.type_.cpus).sum());
+        let mut spare: f64 = seats.iter().map(|s| s.free[0].max(0.0)).sum();
+        let mut short: Vec<Short> = vec![];
         for id in order {
             if places.len() >= self.tuning.round_limit {
                 break;
@@ -359,6 +380,8 @@
             let mut scores: Vec<Option<(f64, f64)>> = vec![None; seats.len()];
             let mut full = false;
             let mut waits = 0;
+            let quick = self.wants_quick_start(&job.record.spec.class);
+            let mut lacking = Short { job: id.clone(), tasks: 0, wait_s: f64::INFINITY };
             for index in 0..job.slices.len() {
                 if job.part_of(index) != Some(part) {
                     continue;
@@ -379,18 +402,30 @@
                         full |= gang;
                         continue;
                     }
+                    if !quick && spare - need[0] < reserve {
+                        // What is left is for work that must start at once.
+                        lacking.tasks += 1;
+                        full = true;
+                        continue;
+                    }
                     match self.best_seat(&seats, job, &need, &spread, &mut scores) {
-                        None => full = true,
+                        None => {
+                            lacking.tasks += 1;
+                            full = true;
+                        }
                         Some((seat, wait, run)) => {
                             seats[seat].book(&need, wait, wait + run);
                             scores[seat] = None;
                             if wait > 0.0 {
                                 waits += 1;
+                                lacking.tasks += 1;
+                                lacking.wait_s = lacking.wait_s.min(wait);
                                 full = gang || waits >= MOST_WAITS;
                                 continue;
                             }
                             team.0 += need[0];
                             team.1 += need[1];
+                            spare -= need[0];
                             if job.record.spec.whole() {
                                 *spread.by_zone.entry(seats[seat].machine.zone.clone()).or_default() += 1;
                                 scores.fill(None);
@@ -401,6 +436,9 @@
                     }
                 }
             }
+            if lacking.tasks > 0 {
+                short.push(lacking);
+            }
             if let (true, (count, Some((seats_before, used_before)))) = (full, before) {
                 // Not all of the gang can start now: none does.
                 places.truncate(count);
@@ -410,18 +448,33 @@
         }
         drop(seats);
         for (key, attempt, machine) in places {
+            tracing::debug!("task {}/{} attempt {attempt} to {machine}", key.0, key.1);
             self.set_task(&key, TaskRecord::On(attempt, machine));
         }
         if let Some(mine) = self.mine.get_mut(&part) {
             mine.wanted = wanted;
         }
+        self.make_room(part, &short);
+    }
+
+    /// True if an aim says that tasks of the class must start quickly.
+    pub(super) fn wants_quick_start(&self, class: &str) -> bool {
+        let aims = &self.settings.cluster.objectives;
+        aims.iter().any(|o| o.kind == "wait" && o.class.as_deref() == Some(class))
+    }
+
+    /// Cores that a part keeps free for work that must start at once: those
+    /// of a usual job of each such class, of what has been seen.
+    pub(super) fn reserve(&self, cpus: f64) -> f64 {
+        let classes: f64 = self.learned.job_cpus.iter().map(|(_, mean)| mean.0).sum();
+        classes.min(cpus * MOST_RESERVED)
     }
 
     fn any_on(&self, job: &Job) -> bool {
         job.slices.iter().any(|s| s.want.as_ref().or(s.held.record.as_ref()).is_some_and(|r| r.any_on()))
     }
 
-    fn spread(&self, part: PartId, id: &JobRef, job: &Job) -> Spread {
+    pub(super) fn spread(&self, part: PartId, id: &JobRef, job: &Job) -> Spread {
         let mut spread = Spread::default();
         if !job.record.spec.one_zone && !job.record.spec.apart {
             return spread;
@@ -486,7 +539,7 @@
         best.map(|(_, index, wait, run)| (index, wait, run + self.fetch_s(&seats[index], job)))
     }
 
-    fn allowed(&self, job: &Job, seat: &Seat, spread: &Spread) -> bool {
+    pub(super) fn allowed(&self, job: &Job, seat: &Seat, spread: &Spread) -> bool {
         let spec = &job.record.spec;
         let zone = &seat.machine.zone;
         let half = spec.tasks.div_ceil(2) as usize;
