--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -5,6 +5,9 @@
 use crate::protocol::cloud::{Listed, ListedState, RENT_LIMIT, RETURN_LIMIT};
 use crate::protocol::users::JobKind;
 
+/// How far back the usual load is learned from, in seconds.
+const USUAL_S: f64 = 150.0;
+
 /// Names of returned machines remembered in the record.
 const MOST_GONE: usize = 60;
 
@@ -227,6 +230,13 @@
                 *most = most.max(need);
             }
         }
+        // What the work of late has kept busy on average is likely to be
+        // wanted again: buying for it ahead saves late starts and churn.
+        let usual = self.usual_cpus();
+        let now: f64 = groups.values().map(|g| g.cpus).sum();
+        if let Some(group) = groups.values_mut().max_by(|a, b| a.cpus.total_cmp(&b.cpus)) {
+            group.cpus += (usual - now).max(0.0);
+        }
         // Headroom for what must start at once, in every part.
         if let Some(group) = groups.values_mut().max_by(|a, b| a.cpus.total_cmp(&b.cpus)) {
             let each = group.cpus / f64::from(self.parts);
@@ -238,6 +248,21 @@
         demand
     }
 
+    /// Cores that the jobs of the last while keep busy on average.
+    fn usual_cpus(&self) -> f64 {
+        let mut work = 0.0;
+        let mut oldest: f64 = 0.0;
+        for job in self.view.jobs.values() {
+            let (spec, age) = (&job.record.spec, self.age_s(job));
+            if age < USUAL_S && spec.kind == JobKind::Array {
+                let run = self.learned.run_time(&spec.class, spec.estimate_s);
+                work += spec.cpus * f64::from(spec.tasks) * run;
+                oldest = oldest.max(age);
+            }
+        }
+        work / oldest.max(USUAL_S / 3.0)
+    }
+
     fn suits(&self, demand: &Demand, kind: &str, zone: &str, spot: bool) -> bool {
         let big_enough = self.catalog.get(kind).is_some_and(|t| {
             t.cpus + 1e-6 >= demand.shape[0] && t.gpus + 1e-6 >= demand.shape[1] && t.mem_gb + 1e-6 >= demand.shape[2]
