--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::bookkeeping::records::{FleetRecord, TaskRecord, FLEET_KEY, LEADER_KEY};
+use crate::bookkeeping::view::Job;
 use crate::protocol::cloud::{Listed, ListedState, RENT_LIMIT, RETURN_LIMIT};
 use crate::protocol::users::JobKind;
 
@@ -56,6 +57,8 @@
 /// Cores that a group of jobs with the same constraints wants.
 struct Demand {
     cpus: f64,
+    /// Of these, what cannot wait for cheap room: worth ordinary prices.
+    urgent: f64,
     shape: [f64; 3],
     /// Image size and run time, weighted by cores.
     fetch_gb: f64,
@@ -104,6 +107,7 @@
         let busy = self.busy_machines();
         self.note_idle(&busy);
         let demand = self.demand();
+        self.log_fleet(&demand);
         if !self.cloud.renting {
             self.rent_for(&demand);
         }
@@ -111,6 +115,22 @@
         self.return_drained(&busy);
     }
 
+    fn log_fleet(&mut self, demand: &[Demand]) {
+        let cores = |up: bool, spot: bool| -> f64 {
+            let machines = self.cloud.machines.iter().filter(|(n, m)| m.up == up && m.spot == spot && !self.draining(n));
+            machines.filter_map(|(_, m)| self.catalog.get(&m.kind)).map(|t| t.cpus).sum()
+        };
+        let used: f64 = self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).map(|j| f64::from(j.counts().1) * j.record.spec.cpus).sum();
+        let wanted: f64 = demand.iter().map(|d| d.cpus).sum();
+        tracing::debug!(
+            "cores: {wanted:.0} wanted, {used:.0} used; up {} spot and {} ordinary, booting {} and {}",
+            cores(true, true),
+            cores(true, false),
+            cores(false, true),
+            cores(false, false),
+        );
+    }
+
     /// What other owners say of their machines.
     fn take_gossip(&mut self) {
         let mut up: BTreeSet<MachineId> = BTreeSet::new();
@@ -216,6 +236,7 @@
             let key = (spec.gpus > 0.0, spec.types.clone(), spec.zone.clone(), spec.spot);
             let group = groups.entry(key).or_insert(Demand {
                 cpus: 0.0,
+                urgent: 0.0,
                 shape: [0.0; 3],
                 fetch_gb: 0.0,
                 run_s: 0.0,
@@ -224,6 +245,9 @@
                 spot: spec.spot,
             });
             group.cpus += cpus;
+            if !spec.spot || self.pressing(job, left, ahead) {
+                group.urgent += cpus;
+            }
             group.fetch_gb += cpus * spec.image_gb;
             group.run_s += cpus * run;
             for (most, need) in group.shape.iter_mut().zip([spec.cpus, spec.gpus, spec.mem_gb]) {
@@ -232,10 +256,12 @@
         }
         // What the work of late has kept busy on average is likely to be
         // wanted again: buying for it ahead saves late starts and churn.
-        let usual = self.usual_cpus();
+        let (usual, usual_urgent) = self.usual_cpus(ahead);
         let now: f64 = groups.values().map(|g| g.cpus).sum();
+        let now_urgent: f64 = groups.values().map(|g| g.urgent).sum();
         if let Some(group) = groups.values_mut().max_by(|a, b| a.cpus.total_cmp(&b.cpus)) {
             group.cpus += (usual - now).max(0.0);
+            group.urgent += (usual_urgent - now_urgent).max(0.0);
         }
         // Headroom for what must start at once, in every part.
         if let Some(group) = groups.values_mut().max_by(|a, b| a.cpus.total_cmp(&b.cpus)) {
@@ -248,19 +274,32 @@
         demand
     }
 
-    /// Cores that the jobs of the last while keep busy on average.
-    fn usual_cpus(&self) -> f64 {
-        let mut work = 0.0;
+    /// True if a job with so much time left could not wait for a machine to
+    /// come free and still be in time.
+    fn pressing(&self, job: &Job, left: f64, ahead: f64) -> bool {
+        let spec = &job.record.spec;
+        let run = self.learned.run_time(&spec.class, spec.estimate_s);
+        spec.kind != JobKind::Array || left - run * 1.2 - ahead < 20.0
+    }
+
+    /// Cores that the jobs of the last while keep busy on average: all, and
+    /// those of jobs that press from the start.
+    fn usual_cpus(&self, ahead: f64) -> (f64, f64) {
+        let (mut all, mut pressing) = (0.0, 0.0);
         let mut oldest: f64 = 0.0;
         for job in self.view.jobs.values() {
             let (spec, age) = (&job.record.spec, self.age_s(job));
             if age < USUAL_S && spec.kind == JobKind::Array {
-                let run = self.learned.run_time(&spec.class, spec.estimate_s);
-                work += spec.cpus * f64::from(spec.tasks) * run;
+                let work = spec.cpus * f64::from(spec.tasks) * self.learned.run_time(&spec.class, spec.estimate_s);
+                all += work;
+                if self.pressing(job, self.allowed_s(job), ahead) {
+                    pressing += work;
+                }
                 oldest = oldest.max(age);
             }
         }
-        work / oldest.max(USUAL_S / 3.0)
+        let time = oldest.max(USUAL_S / 3.0);
+        (all / time, pressing / time)
     }
 
     fn suits(&self, demand: &Demand, kind: &str, zone: &str, spot: bool) -> bool {
@@ -274,7 +313,7 @@
     }
 
     /// Cores missing per group, after each took what suits it, and cores spare.
-    fn missing(&self, demand: &[Demand]) -> (Vec<f64>, BTreeMap<MachineId, f64>) {
+    fn missing(&self, demand: &[Demand], wanted: fn(&Demand) -> f64) -> (Vec<f64>, BTreeMap<MachineId, f64>) {
         let mut left: BTreeMap<MachineId, f64> = self
             .cloud
             .machines
@@ -284,7 +323,7 @@
             .collect();
         let mut lacks = vec![];
         for group in demand {
-            let mut lack = group.cpus * 1.05;
+            let mut lack = wanted(group) * 1.05;
             for (name, cpus) in &mut left {
                 let m = &self.cloud.machines[name];
                 if lack > 0.0 && self.suits(group, &m.kind, &m.zone, m.spot) {
@@ -299,15 +338,20 @@
     }
 
     fn rent_for(&mut self, demand: &[Demand]) {
-        let (lacks, _) = self.missing(demand);
-        for (group, lack) in demand.iter().zip(lacks) {
-            if lack < 0.5 {
+        let (lacks, _) = self.missing(demand, |d| d.cpus);
+        let (pressing, _) = self.missing(demand, |d| d.urgent);
+        for (group, (any, urgent)) in demand.iter().zip(lacks.into_iter().zip(pressing)) {
+            if any < 0.5 {
                 continue;
             }
             let mut best: Option<(f64, RentRequest)> = None;
             for t in self.catalog.values() {
                 for zone in &t.zones {
                     for spot in [true, false] {
+                        let lack = if spot { any } else { urgent };
+                        if lack < 0.5 {
+                            continue;
+                        }
                         if !self.suits(group, &t.name, zone, spot) || (spot && t.spot_price.is_none()) {
                             continue;
                         }
@@ -488,7 +532,7 @@
         if self.busy_keys.contains(FLEET_KEY) {
             return;
         }
-        let (lacks, spare) = self.missing(demand);
+        let (lacks, spare) = self.missing(demand, |d| d.cpus);
         let lacking = lacks.iter().any(|l| *l > 0.5);
         let idle_for = Span::secs(self.tuning.idle_s);
         let mut surplus: f64 = spare.values().sum();
@@ -506,6 +550,8 @@
             }
             let Some(t) = self.catalog.get(&owned.kind) else { continue };
             let stuck = !owned.up && self.now.since(owned.born) > Span::secs(t.boot_s * 3.0 + 10.0);
+            // Ordinary machines cost several times as much to keep.
+            let idle_for = if owned.spot { idle_for } else { Span(idle_for.0 / 4) };
             let idle = owned.idle_since.is_some_and(|at| self.now.since(at) >= idle_for);
             let unneeded = idle && !lacking && surplus >= t.cpus;
             if owned.failed || stuck || unneeded {
