--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -553,7 +553,11 @@
             // Ordinary machines cost several times as much to keep.
             let idle_for = if owned.spot { idle_for } else { Span(idle_for.0 / 4) };
             let idle = owned.idle_since.is_some_and(|at| self.now.since(at) >= idle_for);
-            let unneeded = idle && !lacking && surplus >= t.cpus;
+            // Surplus ordinary machines are left to run out, rather than
+            // refilled for as long as there is any work.
+            let settled = owned.up && self.now.since(owned.born) > Span::secs(t.boot_s + 45.0);
+            let dear = !owned.spot && settled && surplus >= t.cpus * 1.25;
+            let unneeded = !lacking && (idle && surplus >= t.cpus || dear);
             if owned.failed || stuck || unneeded {
                 if unneeded {
                     surplus -= t.cpus;
--- a/src/coordination/preempting.rs
+++ b/src/coordination/preempting.rs
@@ -81,7 +81,7 @@
     fn worth_stopping_for(&self, job: &Job, wait_s: f64, within: bool) -> bool {
         let spec = &job.record.spec;
         if within || spec.priority >= Priority::High {
-            return wait_s > 1.5;
+            return wait_s > NEARLY_DONE_S;
         }
         let run = self.learned.run_time(&spec.class, spec.estimate_s);
         let spare = self.allowed_s(job) - self.age_s(job) - run;
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -507,6 +507,7 @@
         }
         let spec = &job.record.spec;
         let run_s = self.learned.run_time(&spec.class, spec.estimate_s);
+        let quick = self.wants_quick_start(&spec.class);
         let mut best: Option<((f64, f64, f64), usize, f64, f64)> = None;
         for (index, seat) in seats.iter().enumerate() {
             if !self.allowed(job, seat, spread) {
@@ -529,7 +530,8 @@
             }
             // Among near equals the cheapest, then the fullest, so that others
             // can be given back.
-            let rounded = (score / (0.5 + run_s * NEAR)).round();
+            let near = if quick { 0.3 } else { 0.5 + run_s * NEAR };
+            let rounded = (score / near).round();
             let rank = (rounded, (seat.price * 1000.0).round(), seat.free[0]);
             let better = best.is_none_or(|b| rank < b.0);
             if better {
