--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -9,6 +9,9 @@
 /// How far back the usual load is learned from, in seconds.
 const USUAL_S: f64 = 150.0;
 
+/// Room kept for the ups of work that presses, over its average.
+const PRESSING_HEADROOM: f64 = 1.0;
+
 /// Names of returned machines remembered in the record.
 const MOST_GONE: usize = 60;
 
@@ -117,10 +120,17 @@
 
     fn log_fleet(&mut self, demand: &[Demand]) {
         let cores = |up: bool, spot: bool| -> f64 {
-            let machines = self.cloud.machines.iter().filter(|(n, m)| m.up == up && m.spot == spot && !self.draining(n));
+            let machines =
+                self.cloud.machines.iter().filter(|(n, m)| m.up == up && m.spot == spot && !self.draining(n));
             machines.filter_map(|(_, m)| self.catalog.get(&m.kind)).map(|t| t.cpus).sum()
         };
-        let used: f64 = self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).map(|j| f64::from(j.counts().1) * j.record.spec.cpus).sum();
+        let used: f64 = self
+            .view
+            .active
+            .iter()
+            .filter_map(|id| self.view.jobs.get(id))
+            .map(|j| f64::from(j.counts().1) * j.record.spec.cpus)
+            .sum();
         let wanted: f64 = demand.iter().map(|d| d.cpus).sum();
         tracing::debug!(
             "cores: {wanted:.0} wanted, {used:.0} used; up {} spot and {} ordinary, booting {} and {}",
@@ -194,6 +204,21 @@
         busy
     }
 
+    /// Cores that tasks take of each machine.
+    fn used_cpus(&self) -> BTreeMap<MachineId, f64> {
+        let mut used: BTreeMap<MachineId, f64> = BTreeMap::new();
+        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)) {
+            for record in job.slices.iter().filter_map(|s| s.want.as_ref().or(s.held.record.as_ref())) {
+                for task in &record.tasks {
+                    if let TaskRecord::On(_, machine) = task {
+                        *used.entry(machine.clone()).or_default() += job.record.spec.cpus;
+                    }
+                }
+            }
+        }
+        used
+    }
+
     fn note_idle(&mut self, busy: &BTreeSet<MachineId>) {
         for (name, owned) in &mut self.cloud.machines {
             if busy.contains(name) || !owned.up {
@@ -220,10 +245,10 @@
             let left = self.allowed_s(job) - self.age_s(job);
             let (share_on, share_waiting) = if spec.kind == JobKind::Array {
                 {
-                // Tasks one after the other that fit into the time left.
-                let waves = ((left - 5.0) / (run * 1.2 + 5.0)).floor().max(1.0);
-                ((run * 0.6 / ahead).min(1.0), (run / ahead).min(1.0) / waves)
-            }
+                    // Tasks one after the other that fit into the time left.
+                    let waves = ((left - 5.0) / (run * 1.2 + 5.0)).floor().max(1.0);
+                    ((run * 0.6 / ahead).min(1.0), (run / ahead).min(1.0) / waves)
+                }
             } else {
                 (1.0, 1.0)
             };
@@ -279,7 +304,7 @@
     fn pressing(&self, job: &Job, left: f64, ahead: f64) -> bool {
         let spec = &job.record.spec;
         let run = self.learned.run_time(&spec.class, spec.estimate_s);
-        spec.kind != JobKind::Array || left - run * 1.2 - ahead < 20.0
+        spec.kind != JobKind::Array || left < run * 2.2 + ahead
     }
 
     /// Cores that the jobs of the last while keep busy on average: all, and
@@ -299,7 +324,7 @@
             }
         }
         let time = oldest.max(USUAL_S / 3.0);
-        (all / time, pressing / time)
+        (all / time, pressing / time * PRESSING_HEADROOM)
     }
 
     fn suits(&self, demand: &Demand, kind: &str, zone: &str, spot: bool) -> bool {
@@ -543,7 +568,10 @@
                 .get(&m.kind)
                 .map_or(0.0, |t| if m.spot { t.spot_price.unwrap_or(t.price) } else { t.price } / t.cpus)
         };
-        order.sort_by(|a, b| price(b.1).total_cmp(&price(a.1)));
+        let used = self.used_cpus();
+        let wanted: f64 = demand.iter().map(|d| d.cpus).sum();
+        let load = |n: &MachineId| used.get(n).copied().unwrap_or(0.0);
+        order.sort_by(|a, b| price(b.1).total_cmp(&price(a.1)).then(load(a.0).total_cmp(&load(b.0))));
         for (name, owned) in order {
             if self.draining(name) {
                 continue;
@@ -556,7 +584,9 @@
             // Surplus ordinary machines are left to run out, rather than
             // refilled for as long as there is any work.
             let settled = owned.up && self.now.since(owned.born) > Span::secs(t.boot_s + 45.0);
-            let dear = !owned.spot && settled && surplus >= t.cpus * 1.25;
+            let in_use = used.get(name).copied().unwrap_or(0.0) / t.cpus;
+            let margin = if owned.spot { wanted * 0.1 } else { t.cpus * 0.25 };
+            let dear = settled && !owned.spot && in_use < 0.6 && surplus >= t.cpus + margin;
             let unneeded = !lacking && (idle && surplus >= t.cpus || dear);
             if owned.failed || stuck || unneeded {
                 if unneeded {
--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -190,7 +190,13 @@
     pub(super) fn job_changed(&mut self, id: &JobRef) {
         if let Some(job) = self.view.jobs.get(id).filter(|j| j.record.end.is_none()) {
             let spec = &job.record.spec;
-            tracing::debug!("job {id}: {} tasks of {} cpus, {} s, plan {:?}", spec.tasks, spec.cpus, spec.estimate_s, job.record.plan);
+            tracing::debug!(
+                "job {id}: {} tasks of {} cpus, {} s, plan {:?}",
+                spec.tasks,
+                spec.cpus,
+                spec.estimate_s,
+                job.record.plan
+            );
             if self.wants_quick_start(&spec.class) {
                 let (class, cpus) = (spec.class.clone(), spec.cpus * f64::from(spec.tasks));
                 self.learned.saw_job(&class, cpus);
--- a/src/coordination/preempting.rs
+++ b/src/coordination/preempting.rs
@@ -11,6 +11,8 @@
 const MOST_STOPS: usize = 24;
 /// A task that ends within this time is not worth stopping.
 const NEARLY_DONE_S: f64 = 5.0;
+/// How long a team within its guarantee waits for room before it is made.
+const TAKE_BACK_S: f64 = 20.0;
 
 /// A task that may be stopped for another.
 struct Victim {
@@ -80,9 +82,14 @@
     /// Work that would only be late anyway, or can still wait, stops nobody.
     fn worth_stopping_for(&self, job: &Job, wait_s: f64, within: bool) -> bool {
         let spec = &job.record.spec;
-        if within || spec.priority >= Priority::High {
+        if spec.priority >= Priority::High {
             return wait_s > NEARLY_DONE_S;
         }
+        // Taking back what others borrow costs their work: only where room
+        // does not come by itself.
+        if within {
+            return wait_s > TAKE_BACK_S;
+        }
         let run = self.learned.run_time(&spec.class, spec.estimate_s);
         let spare = self.allowed_s(job) - self.age_s(job) - run;
         spare > -5.0 && wait_s + 15.0 > spare && wait_s > NEARLY_DONE_S
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -19,7 +19,7 @@
 const NEAR: f64 = 0.08;
 
 /// The largest share of a part that is kept free.
-const MOST_RESERVED: f64 = 0.12;
+const MOST_RESERVED: f64 = 0.02;
 
 /// A job whose tasks found no room in a round, and when there may be some.
 pub(super) struct Short {
