--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -365,6 +365,11 @@
     fn rent_for(&mut self, demand: &[Demand]) {
         let (lacks, _) = self.missing(demand, |d| d.cpus);
         let (pressing, _) = self.missing(demand, |d| d.urgent);
+        let mut in_zone: BTreeMap<&str, f64> = BTreeMap::new();
+        for m in self.cloud.machines.values() {
+            *in_zone.entry(m.zone.as_str()).or_default() += self.catalog.get(&m.kind).map_or(0.0, |t| t.cpus);
+        }
+        let total: f64 = in_zone.values().sum();
         for (group, (any, urgent)) in demand.iter().zip(lacks.into_iter().zip(pressing)) {
             if any < 0.5 {
                 continue;
@@ -393,6 +398,10 @@
                         let fetch = if t.fetch_gb_per_s > 0.0 { group.fetch_gb / t.fetch_gb_per_s } else { 0.0 };
                         let slow = 1.0 + 0.5 * fetch / group.run_s.max(1e-6);
                         let cost = count * price * slow / (count * useful).min(lack);
+                        // At about the same price, the zone with less of ours:
+                        // a lost zone should not take everything.
+                        let here = in_zone.get(zone.as_str()).copied().unwrap_or(0.0);
+                        let cost = cost * (1.0 + 0.05 * here / total.max(1.0));
                         if best.as_ref().is_none_or(|b| cost < b.0) {
                             let request = RentRequest {
                                 request: String::new(),
@@ -558,7 +567,12 @@
             return;
         }
         let (lacks, spare) = self.missing(demand, |d| d.cpus);
-        let lacking = lacks.iter().any(|l| *l > 0.5);
+        // Machines that suit work without room are kept; others are not: they
+        // may be what keeps the cloud from having any that would do.
+        let lacking = |m: &Owned| {
+            let mut groups = demand.iter().zip(&lacks);
+            groups.any(|(group, lack)| *lack > 0.5 && self.suits(group, &m.kind, &m.zone, m.spot))
+        };
         let idle_for = Span::secs(self.tuning.idle_s);
         let mut surplus: f64 = spare.values().sum();
         let mut drain = vec![];
@@ -587,7 +601,7 @@
             let in_use = used.get(name).copied().unwrap_or(0.0) / t.cpus;
             let margin = if owned.spot { wanted * 0.1 } else { t.cpus * 0.25 };
             let dear = settled && !owned.spot && in_use < 0.6 && surplus >= t.cpus + margin;
-            let unneeded = !lacking && (idle && surplus >= t.cpus || dear);
+            let unneeded = !lacking(owned) && (idle && surplus >= t.cpus || dear);
             if owned.failed || stuck || unneeded {
                 if unneeded {
                     surplus -= t.cpus;
--- /dev/null
+++ b/tests/standin/mod.rs
@@ -0,0 +1,850 @@
+//! A stand-in for workers, cloud, state service and users, written from the
+//! protocol. It drives controllers' cores in virtual time with crashes, cuts
+//! and delayed messages, and checks the rules by itself.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use tillercleat::coordination::{Ask, CloudAnswer, CloudCall, Core, Input, Output, Reply};
+use tillercleat::protocol::cloud::{Catalog, Listed, ListedState, MachineNames, MachinePage, MachineType};
+use tillercleat::protocol::state::{Change, Event as Changed, Events, Item, Page, StateAnswer, StateCall, Txn};
+use tillercleat::protocol::users::{JobSpec, JobState};
+use tillercleat::protocol::workers::{Command, Report, TaskName, TaskReport, TaskState, Why};
+use tillercleat::settings::{Settings, Tuning};
+use tillercleat::units::{
+    Attempt, CallId, JobRef, LeaseId, MachineId, NodeName, RequestId, Revision, Seq, Session, Time, Token,
+};
+
+pub const LEASE_MS: u64 = 10_000;
+pub const CANCEL_MS: u64 = 40_000;
+const REPORT_MS: u64 = 1000;
+const ZONES: [&str; 2] = ["a", "b"];
+
+/// What goes wrong, and when (milliseconds).
+#[derive(Debug, Clone)]
+pub enum Fault {
+    Crash {
+        node: usize,
+        back_after: u64,
+    },
+    /// The state service answers 503, to all or to one node.
+    StateOutage {
+        node: Option<usize>,
+        for_ms: u64,
+    },
+    /// State answers get lost, though the requests are carried out, perhaps late.
+    StateSilence {
+        node: usize,
+        for_ms: u64,
+        late: u64,
+    },
+    /// Workers of a zone and one node cannot reach each other.
+    Cut {
+        node: usize,
+        zone: usize,
+        for_ms: u64,
+        hold: bool,
+    },
+    MachineDies {
+        pick: usize,
+    },
+    MachineHangs {
+        pick: usize,
+        for_ms: u64,
+    },
+    PeersCut {
+        for_ms: u64,
+    },
+}
+
+enum Due {
+    Tick(usize, u32),
+    ToNode(usize, u32, Input),
+    State(usize, u32, CallId, StateCall, u64),
+    Cloud(usize, u32, CallId, CloudCall),
+    ReportTimer(usize),
+    Report(usize, u32, usize, Report),
+    Answer(usize, u64, Reply, u64),
+    Restart(usize),
+    Fault(Fault),
+    Submit(JobSpec, u32),
+    Cancel(JobRef, u32),
+    Poll(JobRef),
+}
+
+struct Node {
+    core: Option<Core>,
+    life: u32,
+    started: u64,
+}
+
+#[derive(Default)]
+struct StateService {
+    revision: u64,
+    rows: BTreeMap<String, (serde_json::Value, u64, Option<u64>)>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    last_lease: u64,
+    log: Vec<(u64, String, Option<serde_json::Value>)>,
+}
+
+impl StateService {
+    fn expire(&mut self, now: u64) {
+        let ended: Vec<u64> = self.leases.iter().filter(|(_, l)| l.1 < now).map(|(id, _)| *id).collect();
+        for lease in ended {
+            self.leases.remove(&lease);
+            let keys: Vec<String> =
+                self.rows.iter().filter(|(_, r)| r.2 == Some(lease)).map(|(k, _)| k.clone()).collect();
+            for key in keys {
+                self.revision += 1;
+                self.rows.remove(&key);
+                self.log.push((self.revision, key, None));
+            }
+        }
+    }
+
+    fn txn(&mut self, txn: Txn) -> StateAnswer {
+        for change in &txn.changes {
+            if let Change::Put { lease: Some(lease), .. } = change {
+                if !self.leases.contains_key(&lease.0) {
+                    return StateAnswer::LeaseGone;
+                }
+            }
+        }
+        let version = |key: &str| self.rows.get(key).map_or(0, |r| r.1);
+        let failed: Vec<String> =
+            txn.conditions.iter().filter(|c| version(&c.key) != c.version.0).map(|c| c.key.clone()).collect();
+        if !failed.is_empty() {
+            return StateAnswer::Conflict(failed);
+        }
+        self.revision += 1;
+        for change in txn.changes {
+            match change {
+                Change::Put { put, value, lease } => {
+                    self.log.push((self.revision, put.clone(), Some(value.clone())));
+                    self.rows.insert(put, (value, self.revision, lease.map(|l| l.0)));
+                }
+                Change::Delete { delete } => {
+                    self.rows.remove(&delete);
+                    self.log.push((self.revision, delete, None));
+                }
+            }
+        }
+        StateAnswer::Committed(Revision(self.revision))
+    }
+
+    fn run(&mut self, now: u64, call: StateCall) -> StateAnswer {
+        self.expire(now);
+        match call {
+            StateCall::Get { key } => match self.rows.get(&key) {
+                Some((value, version, _)) => {
+                    StateAnswer::Found(Item { key, value: value.clone(), version: Revision(*version) })
+                }
+                None => StateAnswer::Missing(Revision(self.revision)),
+            },
+            StateCall::List { prefix, after } => {
+                let after = after.unwrap_or_default();
+                let rows = self.rows.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+                let items: Vec<Item> = rows
+                    .take(51)
+                    .map(|(k, r)| Item { key: k.clone(), value: r.0.clone(), version: Revision(r.1) })
+                    .collect();
+                let more = items.len() > 50;
+                StateAnswer::Page(Page {
+                    items: items.into_iter().take(50).collect(),
+                    more,
+                    revision: Revision(self.revision),
+                })
+            }
+            StateCall::Txn(txn) => self.txn(txn),
+            StateCall::Grant { ttl_ms } => {
+                self.last_lease += 1;
+                self.leases.insert(self.last_lease, (ttl_ms, now + ttl_ms));
+                StateAnswer::Granted(LeaseId(self.last_lease))
+            }
+            StateCall::Renew { lease } => match self.leases.get_mut(&lease.0) {
+                Some(entry) => {
+                    entry.1 = now + entry.0;
+                    StateAnswer::Renewed
+                }
+                None => StateAnswer::LeaseGone,
+            },
+            StateCall::Watch { after, .. } => {
+                let events = self.log.iter().filter(|e| e.0 > after.0).map(|(at, key, value)| match value {
+                    Some(value) => Changed::Put { put: key.clone(), value: value.clone(), version: Revision(*at) },
+                    None => Changed::Delete { delete: key.clone(), version: Revision(*at) },
+                });
+                StateAnswer::Events(Events { events: events.collect(), revision: Revision(self.revision) })
+            }
+        }
+    }
+}
+
+struct OnMachine {
+    attempt: Attempt,
+    state: TaskState,
+    why: Option<Why>,
+    ends: u64,
+}
+
+struct Worker {
+    name: MachineId,
+    kind: String,
+    zone: usize,
+    spot: bool,
+    rented: u64,
+    up_at: u64,
+    alive: bool,
+    hung_until: u64,
+    session: u64,
+    seq: u64,
+    token: u64,
+    node: usize,
+    lease_from: u64,
+    tasks: BTreeMap<(JobRef, u32), OnMachine>,
+    /// The report in flight: its number and when it was sent.
+    flight: Option<(u64, u64)>,
+}
+
+pub struct Job {
+    pub spec: JobSpec,
+    accepted: bool,
+    cancel_told: Option<u64>,
+    done_told: bool,
+    finished: BTreeSet<u32>,
+}
+
+pub struct World {
+    now: u64,
+    order: u64,
+    due: BinaryHeap<Reverse<(u64, u64)>>,
+    what: BTreeMap<u64, Due>,
+    random: u64,
+    settings: Vec<Settings>,
+    nodes: Vec<Node>,
+    state: StateService,
+    workers: Vec<Worker>,
+    rentals: BTreeMap<String, Vec<MachineId>>,
+    capacity: usize,
+    pub jobs: BTreeMap<JobRef, Job>,
+    requests: BTreeMap<(usize, RequestId), Asked>,
+    last_request: u64,
+    state_out: Vec<u64>,
+    silent: Vec<(u64, u64)>,
+    cuts: BTreeMap<(usize, usize), (u64, bool)>,
+    peers_cut: u64,
+    /// Rules seen broken.
+    pub broken: Vec<String>,
+    pub starts: usize,
+}
+
+enum Asked {
+    User(JobRef, &'static str, u32),
+    Worker(usize, u64),
+}
+
+pub fn settings(node: usize, lease_s: f64) -> Settings {
+    let addr = |n: usize| format!("127.0.0.1:{}", 1000 + n);
+    let known: Vec<serde_json::Value> = (0..3)
+        .filter(|n| *n != node)
+        .map(|n| serde_json::json!({"label": format!("n{n}"), "domain": "a", "address": addr(n)}))
+        .collect();
+    serde_json::from_value(serde_json::json!({
+        "label": format!("n{node}"), "domain": "a", "client_listen": addr(10 + node), "internal_addr": addr(node),
+        "known": known, "external": {"cloud": addr(20), "state": addr(21)}, "unheard_of": 1,
+        "cluster": {
+            "zones": ZONES,
+            "teams": [{"name": "red", "cpus": 8.0, "cpus_max": 24.0}, {"name": "blue", "cpus_max": 0.0}],
+            "objectives": [],
+            "workers": {"report_s": 1.0, "lease_s": lease_s, "cancel_s": CANCEL_MS as f64 / 1000.0},
+            "state": {"rps": 400.0, "write_rps": 200.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 5.0, "list_lag_s": 2.0},
+            "quota": {"ram_mb": 56.0, "fd_limit": 800}
+        }
+    }))
+    .expect("settings")
+}
+
+impl World {
+    /// Three controllers; `lease_s` is what they are told of workers' leases.
+    pub fn new(seed: u64, lease_s: f64) -> World {
+        let mut world = World {
+            now: 1000,
+            order: 0,
+            due: BinaryHeap::new(),
+            what: BTreeMap::new(),
+            random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
+            settings: (0..3).map(|n| settings(n, lease_s)).collect(),
+            nodes: vec![],
+            state: StateService::default(),
+            workers: vec![],
+            rentals: BTreeMap::new(),
+            capacity: 14,
+            jobs: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            last_request: 0,
+            state_out: vec![0; 3],
+            silent: vec![(0, 0); 3],
+            cuts: BTreeMap::new(),
+            peers_cut: 0,
+            broken: vec![],
+            starts: 0,
+        };
+        for node in 0..3 {
+            world.nodes.push(Node { core: None, life: 0, started: 0 });
+            world.at(world.now, Due::Restart(node));
+        }
+        world
+    }
+
+    pub fn random(&mut self, below: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % below.max(1)
+    }
+
+    fn at(&mut self, time: u64, what: Due) {
+        self.order += 1;
+        self.due.push(Reverse((time, self.order)));
+        self.what.insert(self.order, what);
+    }
+
+    pub fn fault(&mut self, at: u64, fault: Fault) {
+        self.at(at, Due::Fault(fault));
+    }
+
+    pub fn submit(&mut self, at: u64, spec: JobSpec) {
+        self.at(at, Due::Submit(spec, 0));
+    }
+
+    pub fn cancel(&mut self, at: u64, job: &JobRef) {
+        self.at(at, Due::Cancel(job.clone(), 0));
+    }
+
+    /// Runs until `until`.
+    pub fn run(&mut self, until: u64) {
+        while let Some(Reverse((time, order))) = self.due.peek().copied() {
+            if time > until {
+                break;
+            }
+            self.due.pop();
+            self.now = self.now.max(time);
+            let Some(what) = self.what.remove(&order) else { continue };
+            self.happen(what);
+        }
+        self.now = until;
+        self.check_cancelled();
+    }
+
+    fn happen(&mut self, what: Due) {
+        match what {
+            Due::Tick(node, life) if self.nodes[node].life == life => {
+                self.feed(node, Input::Tick);
+                self.at(self.now + 50, Due::Tick(node, life));
+            }
+            Due::ToNode(node, life, input) if self.nodes[node].life == life => self.feed(node, input),
+            Due::Tick(..) | Due::ToNode(..) => {}
+            Due::State(node, life, id, call, deadline) => self.state_call(node, life, id, call, deadline),
+            Due::Cloud(node, life, id, call) => {
+                let answer = self.cloud_call(call);
+                self.at(self.now + 50, Due::ToNode(node, life, Input::Cloud(id, answer)));
+            }
+            Due::ReportTimer(worker) => self.send_report(worker),
+            Due::Report(node, life, worker, report) => {
+                if self.nodes[node].life == life && self.nodes[node].core.is_some() {
+                    self.last_request += 1;
+                    let id = RequestId(self.last_request);
+                    self.requests.insert((node, id), Asked::Worker(worker, report.seq.0));
+                    self.feed(node, Input::Report(id, report));
+                }
+            }
+            Due::Answer(worker, flight, reply, session) => self.worker_answered(worker, flight, reply, session),
+            Due::Restart(node) => {
+                let core = Core::new(self.settings[node].clone(), Tuning::default());
+                let n = &mut self.nodes[node];
+                n.core = Some(core);
+                n.life += 1;
+                n.started = self.now;
+                let life = n.life;
+                self.at(self.now + 1, Due::Tick(node, life));
+            }
+            Due::Fault(fault) => self.strike(fault),
+            Due::Submit(spec, tries) => {
+                let id = spec.id.clone();
+                self.jobs.entry(id.clone()).or_insert_with(|| Job {
+                    spec: spec.clone(),
+                    accepted: false,
+                    cancel_told: None,
+                    done_told: false,
+                    finished: BTreeSet::new(),
+                });
+                self.ask(Ask::Submit(Box::new(spec)), id, "submit", tries);
+            }
+            Due::Cancel(job, tries) => self.ask(Ask::Cancel(job.clone()), job, "cancel", tries),
+            Due::Poll(job) => self.ask(Ask::Query(job.clone()), job, "poll", 0),
+        }
+    }
+
+    fn ask(&mut self, ask: Ask, job: JobRef, what: &'static str, tries: u32) {
+        let node = self.random(3) as usize;
+        if self.nodes[node].core.is_none() {
+            return self.ask_again(job, what, tries);
+        }
+        self.last_request += 1;
+        let id = RequestId(self.last_request);
+        self.requests.insert((node, id), Asked::User(job, what, tries));
+        self.feed(node, Input::User(id, ask));
+    }
+
+    fn ask_again(&mut self, job: JobRef, what: &'static str, tries: u32) {
+        let at = self.now + 1000;
+        match what {
+            "submit" if tries < 90 => {
+                let spec = self.jobs[&job].spec.clone();
+                self.at(at, Due::Submit(spec, tries + 1));
+            }
+            "cancel" if tries < 90 => self.at(at, Due::Cancel(job, tries + 1)),
+            "poll" => self.at(self.now + 3000, Due::Poll(job)),
+            _ => {}
+        }
+    }
+
+    fn feed(&mut self, node: usize, input: Input) {
+        let n = &mut self.nodes[node];
+        let Some(core) = n.core.as_mut() else { return };
+        // Steady clocks drift apart a little, and the time of day is off.
+        let steady = (self.now - n.started) * (100_000 + [0, 40, 25][node]) / 100_000 + 1;
+        let outputs = core.handle(Time(steady), self.now + 500 * node as u64, input);
+        let life = n.life;
+        for output in outputs {
+            match output {
+                Output::Reply(id, reply) => self.replied(node, id, reply),
+                Output::State(id, call) => {
+                    let wait = if let StateCall::Watch { wait_ms, .. } = call { wait_ms } else { 0 };
+                    let delay = 3 + self.random(6);
+                    self.at(self.now + delay, Due::State(node, life, id, call, self.now + wait));
+                }
+                Output::Cloud(id, call) => self.at(self.now + 80, Due::Cloud(node, life, id, call)),
+                Output::Tell(note) => {
+                    for peer in (0..3).filter(|p| *p != node) {
+                        if self.now >= self.peers_cut && self.nodes[peer].core.is_some() {
+                            let to = self.nodes[peer].life;
+                            self.at(self.now + 2, Due::ToNode(peer, to, Input::Note(note.clone())));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn state_call(&mut self, node: usize, life: u32, id: CallId, call: StateCall, deadline: u64) {
+        let answer_at = |world: &World| world.now + 3;
+        if self.now < self.state_out[node] {
+            // Open watches wait; everything else is refused.
+            if matches!(call, StateCall::Watch { .. }) && self.now < deadline {
+                return self.at(self.now + 100, Due::State(node, life, id, call, deadline));
+            }
+            return self.at(answer_at(self), Due::ToNode(node, life, Input::State(id, StateAnswer::Refused)));
+        }
+        let (until, late) = self.silent[node];
+        if self.now < until {
+            if late > 0 && matches!(call, StateCall::Txn(_)) {
+                // Carried out late; the answer never comes.
+                self.at(self.now + late, Due::State(node, u32::MAX, id, call, 0));
+            }
+            return self.at(self.now + 1500, Due::ToNode(node, life, Input::State(id, StateAnswer::Unknown)));
+        }
+        if let StateCall::Watch { after, .. } = &call {
+            self.state.expire(self.now);
+            if self.state.revision <= after.0 && self.now < deadline {
+                return self.at(self.now + 20, Due::State(node, life, id, call, deadline));
+            }
+        }
+        let answer = self.state.run(self.now, call);
+        self.at(answer_at(self), Due::ToNode(node, life, Input::State(id, answer)));
+    }
+
+    fn cloud_call(&mut self, call: CloudCall) -> CloudAnswer {
+        match call {
+            CloudCall::Catalog => CloudAnswer::Catalog(Catalog {
+                types: vec![MachineType {
+                    name: "m8".into(),
+                    cpus: 8.0,
+                    gpus: 0.0,
+                    mem_gb: 32.0,
+                    cache_gb: 50.0,
+                    fetch_gb_per_s: 1.0,
+                    price: 1.0,
+                    spot_price: Some(0.4),
+                    boot_s: 5.0,
+                    zones: ZONES.iter().map(|z| z.to_string()).collect(),
+                }],
+            }),
+            CloudCall::List { .. } => {
+                let machines = self.workers.iter().filter(|w| w.alive && self.now >= w.rented + 2000);
+                let machines = machines
+                    .map(|w| Listed {
+                        machine: w.name.clone(),
+                        kind: w.kind.clone(),
+                        zone: ZONES[w.zone].into(),
+                        spot: w.spot,
+                        state: if self.now >= w.up_at { ListedState::Running } else { ListedState::Booting },
+                        age_s: (self.now - w.rented) as f64 / 1000.0,
+                    })
+                    .collect();
+                CloudAnswer::Page(MachinePage { machines, more: false })
+            }
+            CloudCall::Rent(request) => {
+                if let Some(names) = self.rentals.get(&request.request) {
+                    return CloudAnswer::Rented(MachineNames { machines: names.clone() });
+                }
+                let alive = self.workers.iter().filter(|w| w.alive).count();
+                let count = (request.count as usize).min(self.capacity.saturating_sub(alive));
+                if count == 0 {
+                    return CloudAnswer::NoCapacity;
+                }
+                let zone = ZONES.iter().position(|z| *z == request.zone).expect("a zone of the catalog");
+                let mut names = vec![];
+                for _ in 0..count {
+                    let index = self.workers.len();
+                    let name = MachineId::new(&format!("i-{index:06}"));
+                    names.push(name.clone());
+                    let up_at = self.now + 2000 + self.random(6000);
+                    let node = self.random(3) as usize;
+                    self.workers.push(Worker {
+                        name,
+                        kind: request.kind.clone(),
+                        zone,
+                        spot: request.spot,
+                        rented: self.now,
+                        up_at,
+                        alive: true,
+                        hung_until: 0,
+                        session: 1,
+                        seq: 0,
+                        token: 0,
+                        node,
+                        lease_from: up_at,
+                        tasks: BTreeMap::new(),
+                        flight: None,
+                    });
+                    self.at(up_at, Due::ReportTimer(index));
+                }
+                self.rentals.insert(request.request, names.clone());
+                CloudAnswer::Rented(MachineNames { machines: names })
+            }
+            CloudCall::Return(names) => {
+                for worker in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
+                    worker.alive = false;
+                    worker.tasks.clear();
+                }
+                CloudAnswer::Returned
+            }
+        }
+    }
+
+    /// Lets a worker's time pass: its lease, and the tasks that end.
+    fn live(&mut self, index: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[index];
+        if now > worker.lease_from + LEASE_MS {
+            worker.session += 1;
+            worker.lease_from = now;
+            worker.tasks.clear();
+        }
+        if now < worker.hung_until {
+            // A hanging machine carries out nothing, but its lease runs out.
+            return;
+        }
+        for (key, task) in &mut worker.tasks {
+            if task.state != TaskState::Exited && task.ends <= now {
+                task.state = TaskState::Exited;
+                task.why = Some(Why::Done);
+                if let Some(job) = self.jobs.get_mut(&key.0) {
+                    job.finished.insert(key.1);
+                }
+            }
+        }
+    }
+
+    fn send_report(&mut self, index: usize) {
+        if !self.workers[index].alive {
+            return;
+        }
+        self.at(self.now + REPORT_MS * 3 / 4 + index as u64 % 7 * 60, Due::ReportTimer(index));
+        if self.now < self.workers[index].hung_until {
+            return;
+        }
+        self.live(index);
+        self.check_cancelled();
+        let now = self.now;
+        let worker = &mut self.workers[index];
+        match worker.flight {
+            Some((_, sent)) if now < sent + 4000 => return,
+            Some(_) => worker.node = (worker.node + 1) % 3,
+            None => {}
+        }
+        worker.seq += 1;
+        worker.flight = Some((worker.seq, now));
+        let tasks = worker.tasks.iter().map(|(key, task)| TaskReport {
+            task: TaskName { job: key.0.clone(), index: key.1 },
+            attempt: task.attempt,
+            state: task.state,
+            why: task.why,
+            saved: None,
+        });
+        let report = Report {
+            machine: worker.name.clone(),
+            addr: "127.0.0.1:1".into(),
+            kind: worker.kind.clone(),
+            zone: ZONES[worker.zone].into(),
+            spot: worker.spot,
+            session: Session(worker.session),
+            seq: Seq(worker.seq),
+            token: Token(worker.token),
+            notice_s: None,
+            tasks: tasks.collect(),
+        };
+        let (node, zone) = (worker.node, worker.zone);
+        let life = self.nodes[node].life;
+        match self.cuts.get(&(node, zone)) {
+            Some(&(until, true)) if now < until => self.at(until + 1, Due::Report(node, life, index, report)),
+            Some(&(until, false)) if now < until => {}
+            _ => self.at(now + 2, Due::Report(node, life, index, report)),
+        }
+    }
+
+    fn replied(&mut self, node: usize, id: RequestId, reply: Reply) {
+        match self.requests.remove(&(node, id)) {
+            Some(Asked::User(job, what, tries)) => self.user_answered(job, what, tries, reply),
+            Some(Asked::Worker(worker, flight)) => {
+                let zone = self.workers[worker].zone;
+                let session = self.workers[worker].session;
+                let at = match self.cuts.get(&(node, zone)) {
+                    Some(&(until, true)) if self.now < until => until + 1,
+                    Some(&(until, false)) if self.now < until => return,
+                    _ => self.now + 2,
+                };
+                self.at(at, Due::Answer(worker, flight, reply, session));
+            }
+            None => {}
+        }
+    }
+
+    fn worker_answered(&mut self, index: usize, flight: u64, reply: Reply, session: u64) {
+        if self.now < self.workers[index].hung_until {
+            // Processed when it goes on, if it still is in time then.
+            let at = self.workers[index].hung_until;
+            return self.at(at, Due::Answer(index, flight, reply, session));
+        }
+        self.live(index);
+        let worker = &mut self.workers[index];
+        let Some((current, sent)) = worker.flight else { return };
+        // Late answers, and those to an earlier session, are dropped.
+        if !worker.alive || current != flight || self.now > sent + 4000 || session != worker.session {
+            return;
+        }
+        worker.flight = None;
+        match reply {
+            Reply::Commands { token, commands } => {
+                if token.0 < worker.token {
+                    return;
+                }
+                worker.token = token.0;
+                worker.lease_from = sent;
+                for command in commands {
+                    self.carry_out(index, command);
+                }
+            }
+            Reply::Elsewhere(Some(node)) => {
+                worker.node = (0..3).find(|n| NodeName::new(&format!("n{n}")) == node).unwrap_or(0);
+            }
+            _ => worker.node = (worker.node + 1) % 3,
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, command: Command) {
+        let now = self.now;
+        match command {
+            Command::Start { task, attempt } => {
+                let key = (task.job.clone(), task.index);
+                if self.workers[index].tasks.get(&key).is_some_and(|t| t.attempt == attempt) {
+                    return;
+                }
+                self.check_start(index, &key);
+                let run = self.jobs.get(&task.job).map_or(1000, |j| (j.spec.estimate_s * 1000.0) as u64);
+                let ends = now + run * (80 + self.random(60)) / 100;
+                let ends = if run == 0 { u64::MAX } else { ends };
+                let task = OnMachine { attempt, state: TaskState::Running, why: None, ends };
+                self.workers[index].tasks.insert(key, task);
+            }
+            Command::Stop { task, attempt, .. } => {
+                if let Some(on) = self.workers[index].tasks.get_mut(&(task.job, task.index)) {
+                    if on.attempt == attempt && on.state != TaskState::Exited {
+                        on.state = TaskState::Exited;
+                        on.why = Some(Why::Stopped);
+                    }
+                }
+            }
+            Command::Forget { task, attempt } => {
+                let key = (task.job, task.index);
+                if self.workers[index].tasks.get(&key).is_some_and(|t| t.attempt == attempt) {
+                    self.workers[index].tasks.remove(&key);
+                }
+            }
+        }
+    }
+
+    /// Checks what must hold when a task starts.
+    fn check_start(&mut self, index: usize, key: &(JobRef, u32)) {
+        self.starts += 1;
+        for other in 0..self.workers.len() {
+            // Workers act on their leases also while nobody looks.
+            self.live(other);
+        }
+        let running = |w: &Worker| w.tasks.get(key).is_some_and(|t| t.state != TaskState::Exited);
+        let twice = self.workers.iter().enumerate().any(|(at, w)| at != index && w.alive && running(w));
+        if twice {
+            self.broken.push(format!("ran_twice: {}/{} at {}", key.0, key.1, self.now));
+        }
+        let Some(job) = self.jobs.get(&key.0) else {
+            return self.broken.push(format!("invented start: {}", key.0));
+        };
+        let spec = &job.spec;
+        let worker = &self.workers[index];
+        let zone_ok = spec.zone.as_deref().is_none_or(|z| z == ZONES[worker.zone]);
+        if !zone_ok || (worker.spot && !spec.spot) {
+            self.broken.push(format!("wrong_place: {}/{} at {}", key.0, key.1, self.now));
+        }
+        let zones = |of: &JobRef| -> Vec<usize> {
+            let live = self.workers.iter().filter(|w| w.alive);
+            live.flat_map(|w| {
+                w.tasks.iter().filter(|(k, t)| k.0 == *of && t.state != TaskState::Exited).map(|_| w.zone)
+            })
+            .collect()
+        };
+        let others = zones(&key.0);
+        let together = others.iter().filter(|z| **z == worker.zone).count();
+        let half = spec.tasks.div_ceil(2) as usize;
+        if spec.one_zone && together < others.len() || spec.apart && together >= half {
+            self.broken.push(format!("wrong_place by zone: {}/{} at {}", key.0, key.1, self.now));
+        }
+        let limit = self.settings[0].cluster.teams.iter().find(|t| t.name == spec.team).map_or(0.0, |t| t.cpus_max);
+        if limit > 0.0 {
+            let cpus: f64 = self
+                .workers
+                .iter()
+                .filter(|w| w.alive)
+                .flat_map(|w| w.tasks.iter())
+                .filter(|(_, t)| t.state != TaskState::Exited)
+                .filter_map(|(k, _)| self.jobs.get(&k.0).filter(|j| j.spec.team == spec.team).map(|j| j.spec.cpus))
+                .sum();
+            if cpus + spec.cpus > limit + 1e-6 {
+                self.broken.push(format!("quota: {} of {limit} at {}", cpus + spec.cpus, self.now));
+            }
+        }
+        if job.cancel_told.is_some_and(|at| self.now > at + CANCEL_MS) {
+            self.broken.push(format!("ran_cancelled: {}/{} starts at {}", key.0, key.1, self.now));
+        }
+    }
+
+    fn check_cancelled(&mut self) {
+        for at in 0..self.workers.len() {
+            if self.workers[at].alive {
+                self.live(at);
+            }
+        }
+        for worker in self.workers.iter().filter(|w| w.alive) {
+            for (key, task) in &worker.tasks {
+                let told = self.jobs.get(&key.0).and_then(|j| j.cancel_told);
+                if task.state != TaskState::Exited && told.is_some_and(|at| self.now > at + CANCEL_MS) {
+                    self.broken.push(format!("ran_cancelled: {}/{} at {}", key.0, key.1, self.now));
+                }
+            }
+        }
+    }
+
+    fn user_answered(&mut self, id: JobRef, what: &'static str, tries: u32, reply: Reply) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            if matches!(reply, Reply::Job { .. }) {
+                self.broken.push(format!("invented: {id}"));
+            }
+            return;
+        };
+        match reply {
+            Reply::Job { state, .. } => {
+                if state == JobState::Done && job.finished.len() < job.spec.tasks as usize {
+                    self.broken.push(format!("not_done: {id} at {now}"));
+                }
+                let back = (job.done_told && state != JobState::Done)
+                    || (job.cancel_told.is_some() && state != JobState::Cancelled);
+                if back {
+                    self.broken.push(format!("went_back: {id} is {state:?} at {now}"));
+                }
+                job.done_told |= state == JobState::Done;
+                if state == JobState::Cancelled && job.cancel_told.is_none() {
+                    job.cancel_told = Some(now);
+                }
+                let first = !job.accepted;
+                job.accepted = true;
+                if first || what == "poll" {
+                    self.at(now + 3000, Due::Poll(id));
+                }
+            }
+            Reply::Problem { status, .. } => {
+                if job.accepted && matches!(status, 400 | 404 | 422) {
+                    self.broken.push(format!("forgotten: {id} gets {status} at {now}"));
+                }
+                self.ask_again(id, what, tries);
+            }
+            _ => {}
+        }
+    }
+
+    fn strike(&mut self, fault: Fault) {
+        let now = self.now;
+        match fault {
+            Fault::Crash { node, back_after } => {
+                if self.nodes[node].core.take().is_some() {
+                    self.nodes[node].life += 1;
+                    self.requests.retain(|(n, _), _| *n != node);
+                    self.at(now + back_after, Due::Restart(node));
+                }
+            }
+            Fault::StateOutage { node: None, for_ms } => {
+                self.state_out.iter_mut().for_each(|until| *until = (*until).max(now + for_ms));
+                // Every lease has its full time again when the outage ends.
+                self.state.expire(now);
+                for lease in self.state.leases.values_mut() {
+                    lease.1 = now + for_ms + lease.0;
+                }
+            }
+            Fault::StateOutage { node: Some(node), for_ms } => self.state_out[node] = now + for_ms,
+            Fault::StateSilence { node, for_ms, late } => self.silent[node] = (now + for_ms, late),
+            Fault::Cut { node, zone, for_ms, hold } => {
+                self.cuts.insert((node, zone), (now + for_ms, hold));
+            }
+            Fault::MachineDies { pick } => {
+                let alive: Vec<usize> = (0..self.workers.len()).filter(|w| self.workers[*w].alive).collect();
+                if !alive.is_empty() {
+                    let worker = &mut self.workers[alive[pick % alive.len()]];
+                    worker.alive = false;
+                    worker.tasks.clear();
+                }
+            }
+            Fault::MachineHangs { pick, for_ms } => {
+                let alive: Vec<usize> = (0..self.workers.len()).filter(|w| self.workers[*w].alive).collect();
+                if !alive.is_empty() {
+                    self.workers[alive[pick % alive.len()]].hung_until = now + for_ms;
+                }
+            }
+            Fault::PeersCut { for_ms } => self.peers_cut = now + for_ms,
+        }
+    }
+
+    /// Jobs that were accepted and neither done nor cancelled in their users' eyes.
+    pub fn open_jobs(&self) -> Vec<&JobRef> {
+        let open = |j: &Job| j.accepted && !j.done_told && j.cancel_told.is_none();
+        self.jobs.iter().filter(|(_, j)| open(j)).map(|(id, _)| id).collect()
+    }
+}
