--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -381,11 +381,16 @@
             if any <= 0.0 {
                 continue;
             }
+            // Without any spot machines to be had, or any machine at all, work
+            // that could wait for cheap room would wait for nothing.
+            let cheap = group.spot && self.catalog.values().any(|t| t.spot_price.is_some());
+            let nothing =
+                any >= group.cpus && self.cloud.refused.iter().any(|(slot, until)| slot.2 && self.now < until.0);
             let mut best: Option<(f64, RentRequest)> = None;
             for t in self.catalog.values() {
                 for zone in &t.zones {
                     for spot in [true, false] {
-                        let lack = if spot { any } else { urgent };
+                        let lack = if spot || !cheap || nothing { any } else { urgent };
                         if lack <= 0.0 {
                             continue;
                         }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -54,7 +54,9 @@
         } else if !self.watching && self.now >= self.next_watch {
             self.watching = true;
             self.reads.force(self.now, 1.0);
-            let call = StateCall::Watch { prefix: ROOT.into(), after: self.view.revision, wait_ms: 1000 };
+            // A watch without news must end well before the last read is stale.
+            let wait_ms = (self.timing.fresh.0 * 2 / 5).min(1000);
+            let call = StateCall::Watch { prefix: ROOT.into(), after: self.view.revision, wait_ms };
             self.call_state(call, Pending::Watch);
         }
         match self.lease {
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -28,6 +28,9 @@
     pub wait_s: f64,
 }
 
+/// Rounded score, price and free cores: less is better.
+type Rank = (f64, f64, f64);
+
 /// Kind, spot and zone: machines that share a history.
 type Family = (String, bool, String);
 
@@ -471,7 +474,7 @@
     /// Cores that a part keeps free for work that must start at once: those
     /// of a usual job of each such class, of what has been seen.
     pub(super) fn reserve(&self, cpus: f64) -> f64 {
-        let classes: f64 = self.learned.job_cpus.iter().map(|(_, mean)| mean.0).sum();
+        let classes: f64 = self.learned.job_cpus.values().map(|mean| mean.0).sum();
         classes.min(cpus * MOST_RESERVED)
     }
 
@@ -513,7 +516,7 @@
         let spec = &job.record.spec;
         let run_s = self.learned.run_time(&spec.class, spec.estimate_s);
         let quick = self.wants_quick_start(&spec.class);
-        let mut best: Option<((f64, f64, f64), usize, f64, f64)> = None;
+        let mut best: Option<(Rank, usize, f64, f64)> = None;
         for (index, seat) in seats.iter().enumerate() {
             if !self.allowed(job, seat, spread) {
                 continue;
--- /dev/null
+++ b/tests/end_to_end.rs
@@ -0,0 +1,275 @@
+//! The real binary on loopback, with a state service, a cloud and a worker
+//! served by this test: a job runs, a controller is killed and comes back.
+
+#[allow(dead_code)]
+mod standin;
+
+use serde_json::{json, Value};
+use standin::StateService;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tillercleat::protocol::state::{StateAnswer, StateCall, Txn};
+use tillercleat::transport::http::{Client, Connection};
+use tillercleat::units::{LeaseId, Revision};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Serves HTTP on a free port with a thread a connection.
+fn serve(answer: impl Fn(&str, &str, &Value) -> (u16, Value) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let answer = Arc::new(answer);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let answer = answer.clone();
+            std::thread::spawn(move || {
+                let mut connection = Connection::new(stream);
+                while let Ok((head, body)) = connection.read(true, SECOND * 60, SECOND, 1 << 20) {
+                    let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+                    let (status, value) = answer(&head.method, &head.path, &body);
+                    let text = value.to_string();
+                    let text = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+                    if connection.write(text.as_bytes(), SECOND).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+fn query(path: &str, name: &str) -> Option<String> {
+    let pairs = path.split_once('?')?.1.split('&');
+    pairs.filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v.to_string())
+}
+
+fn state_call(method: &str, path: &str, body: &Value) -> StateCall {
+    let number = |name: &str| query(path, name).and_then(|v| v.parse().ok()).unwrap_or(0);
+    match (method, path) {
+        ("POST", "/txn") => StateCall::Txn(serde_json::from_value::<Txn>(body.clone()).expect("a transaction")),
+        ("POST", "/leases") => StateCall::Grant { ttl_ms: body["ttl_ms"].as_u64().expect("a length") },
+        ("POST", _) => {
+            let lease = path.split('/').nth(2).and_then(|l| l.parse().ok()).expect("a lease");
+            StateCall::Renew { lease: LeaseId(lease) }
+        }
+        _ if path.starts_with("/changes") => StateCall::Watch {
+            prefix: query(path, "starts").unwrap_or_default(),
+            after: Revision(number("from")),
+            wait_ms: number("block_ms"),
+        },
+        _ if path.starts_with("/kv?") => {
+            StateCall::List { prefix: query(path, "starts").unwrap_or_default(), after: query(path, "from") }
+        }
+        _ => StateCall::Get { key: path.trim_start_matches("/kv/").to_string() },
+    }
+}
+
+fn state_answer(answer: StateAnswer) -> (u16, Value) {
+    use tillercleat::protocol::state::Event;
+    match answer {
+        StateAnswer::Found(item) => (200, serde_json::to_value(item).expect("json")),
+        StateAnswer::Missing(at) => (404, json!({ "logline": at })),
+        StateAnswer::Page(page) => (200, json!({"rows": page.items, "truncated": page.more, "logline": page.revision})),
+        StateAnswer::Committed(at) => (200, json!({ "logline": at })),
+        StateAnswer::Conflict(failed) => (409, json!({"failed": failed, "logline": 1})),
+        StateAnswer::Granted(lease) => (200, json!({ "mooring": lease })),
+        StateAnswer::Renewed => (200, json!({})),
+        StateAnswer::Events(news) => {
+            let events: Vec<Value> = news
+                .events
+                .into_iter()
+                .map(|event| match event {
+                    Event::Put { put, value, version } => json!({"put": put, "data": value, "stamp": version}),
+                    Event::Delete { delete, version } => json!({"drop": delete, "stamp": version}),
+                })
+                .collect();
+            (200, json!({"logline": news.revision, "news": events}))
+        }
+        StateAnswer::LeaseGone => (404, json!({"error": "no such lease"})),
+        other => panic!("not served: {other:?}"),
+    }
+}
+
+fn state_service() -> SocketAddr {
+    let service = Mutex::new(StateService::default());
+    let begin = Instant::now();
+    serve(move |method, path, body| {
+        let call = state_call(method, path, body);
+        let wait = if let StateCall::Watch { wait_ms, .. } = call { wait_ms } else { 0 };
+        let until = Instant::now() + Duration::from_millis(wait);
+        loop {
+            let now = begin.elapsed().as_millis() as u64;
+            let answer = service.lock().expect("the service").run(now, call.clone());
+            let waiting = matches!(&answer, StateAnswer::Events(news) if news.events.is_empty());
+            if !waiting || Instant::now() >= until {
+                return state_answer(answer);
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    })
+}
+
+/// A cloud that rents one machine, whose worker begins to report at once.
+fn cloud(nodes: Vec<SocketAddr>) -> SocketAddr {
+    let rented = AtomicBool::new(false);
+    serve(move |method, path, _| match (method, path) {
+        ("GET", "/catalog") => (
+            200,
+            json!({"hulls": [{"sku": "m", "cores": 4.0, "mem_gb": 8.0, "local_gb": 9.0, "fetch_gb_per_s": 1.0,
+                "hourly": 1.0, "ready_s": 1.0, "berths": ["a"], "new_field": 0}]}),
+        ),
+        ("POST", "/rentals") => {
+            if rented.swap(true, Ordering::SeqCst) {
+                return (503, json!({"error": "no capacity"}));
+            }
+            let nodes = nodes.clone();
+            std::thread::spawn(move || work(&nodes));
+            (200, json!({"decks": ["i-000001"]}))
+        }
+        ("GET", _) => (200, json!({"decks": [], "truncated": false})),
+        _ => (200, json!({})),
+    })
+}
+
+/// A worker whose tasks take a third of a second.
+fn work(nodes: &[SocketAddr]) {
+    let mut tasks: BTreeMap<String, (u64, Instant)> = BTreeMap::new();
+    let (mut token, mut at) = (0, 0);
+    let mut client = Client::new(nodes[0]);
+    for tally in 1u64.. {
+        std::thread::sleep(Duration::from_millis(100));
+        let loads: Vec<Value> = tasks
+            .iter()
+            .map(|(task, (attempt, began))| {
+                if began.elapsed() > SECOND / 3 {
+                    json!({"load": task, "cast": attempt, "trim": "ended", "cause": "done"})
+                } else {
+                    json!({"load": task, "cast": attempt, "trim": "running"})
+                }
+            })
+            .collect();
+        let report = json!({"deck": "i-000001", "endpoint": "127.0.0.1:1", "hull": "m", "berth": "a",
+            "driftwood": false, "watch": 1, "tally": tally, "helm": token, "recall_s": null, "loads": loads});
+        let answer = client.call("POST", "/hello", report.to_string().as_bytes(), SECOND);
+        let Ok((200, body)) = answer else {
+            at = (at + 1) % nodes.len();
+            client = Client::new(nodes[at]);
+            continue;
+        };
+        let body: Value = serde_json::from_slice(&body).expect("json");
+        token = body["helm"].as_u64().expect("a token").max(token);
+        for call in body["calls"].as_array().into_iter().flatten() {
+            let task = call["load"].as_str().expect("a task").to_string();
+            match call["call"].as_str() {
+                Some("start") => {
+                    tasks.entry(task).or_insert((call["cast"].as_u64().expect("an attempt"), Instant::now()));
+                }
+                _ => {
+                    tasks.remove(&task);
+                }
+            }
+        }
+    }
+}
+
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn start(config: &std::path::Path) -> Process {
+    let child = Command::new(env!("CARGO_BIN_EXE_tillercleat"))
+        .args(["run", "--config"])
+        .arg(config)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the binary starts");
+    Process(child)
+}
+
+fn call(addr: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Value)> {
+    let (status, body) = Client::new(addr).call(method, path, body.as_bytes(), SECOND * 3).ok()?;
+    Some((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+}
+
+fn wait_for(what: &str, mut test: impl FnMut() -> bool) {
+    let until = Instant::now() + SECOND * 60;
+    while !test() {
+        assert!(Instant::now() < until, "{what} takes too long");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+#[test]
+fn the_binary_runs_a_job_and_survives_a_kill() {
+    let client_addr = free_port();
+    let config = json!({
+        "label": "n0", "domain": "a", "client_listen": client_addr.to_string(),
+        "internal_addr": free_port().to_string(), "known": [],
+        "external": {"cloud": cloud(vec![client_addr]).to_string(), "state": state_service().to_string()},
+        "cluster": {"teams": [{"name": "red"}],
+            "workers": {"report_s": 0.2, "lease_s": 3.0, "cancel_s": 12.0},
+            "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 5.0, "list_lag_s": 30.0}, "quota": {"ram_mb": 64.0, "fd_limit": 200}}
+    });
+    let path = std::env::temp_dir().join(format!("tillercleat-{}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).expect("a settings file");
+    let job = |id: &str, crew: &str| {
+        json!({"ref": id, "haul": "h", "crew": crew, "rig": "array", "rank": "normal", "loads": 6, "cores": 1.0,
+            "gpus": 0.0, "mem_gb": 1.0, "kit": "k", "image_gb": 0.1, "hulls": null, "berth": null, "one_zone": false,
+            "apart": false, "driftwood": true, "reckon_s": 1.0, "mark_s": 0.0, "stow_s": 0.0, "tide_s": null})
+        .to_string()
+    };
+    let mut process = start(&path);
+    wait_for("becoming healthy", || call(client_addr, "GET", "/up", "").is_some_and(|(s, _)| s == 200));
+    let status = |method: &str, path: &str, body: &str| call(client_addr, method, path, body).map(|a| a.0);
+    assert_eq!(status("POST", "/v2/runs", "[1]"), Some(400));
+    assert_eq!(status("POST", "/v2/runs", &"x".repeat(70_000)), Some(400));
+    assert_eq!(status("POST", "/v2/runs", &job("wk-000009", "nobody")), Some(422));
+    assert_eq!(status("GET", "/v2/runs/wk-000009", ""), Some(404));
+    assert_eq!(status("PUT", "/v2/runs", ""), Some(405));
+    assert_eq!(status("GET", "/elsewhere", ""), Some(404));
+    assert_eq!(status("POST", "/v2/runs", &job("wk-000001", "red")), Some(201));
+    assert_eq!(status("POST", "/v2/runs", &job("wk-000001", "red")), Some(200));
+    let done = |id: &str| {
+        let answer = call(client_addr, "GET", &format!("/v2/runs/{id}"), "");
+        answer.is_some_and(|(status, body)| status == 200 && body["trim"] == "done")
+    };
+    wait_for("the first job", || done("wk-000001"));
+    assert_eq!(status("POST", "/v2/runs", &job("wk-000002", "red")), Some(201));
+    drop(process);
+    process = start(&path);
+    wait_for("the second job after a kill", || done("wk-000002"));
+    assert!(done("wk-000001"), "a job that was done is done");
+    drop(process);
+    let _ = std::fs::remove_file(&path);
+}
+
+#[test]
+fn bad_settings_end_with_one_line() {
+    let path = std::env::temp_dir().join(format!("tillercleat-bad-{}.json", std::process::id()));
+    std::fs::write(&path, r#"{"label": "n0"}"#).expect("a settings file");
+    let output = Command::new(env!("CARGO_BIN_EXE_tillercleat"))
+        .args(["check", "--config"])
+        .arg(&path)
+        .output()
+        .expect("the binary runs");
+    let text = String::from_utf8_lossy(&output.stderr).to_string();
+    assert!(!output.status.success());
+    assert_eq!(text.trim_end().lines().count(), 1, "{text}");
+    assert!(text.contains("client_listen"), "{text}");
+    let _ = std::fs::remove_file(&path);
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -78,7 +78,7 @@
 }
 
 #[derive(Default)]
-struct StateService {
+pub struct StateService {
     revision: u64,
     rows: BTreeMap<String, (serde_json::Value, u64, Option<u64>)>,
     leases: BTreeMap<u64, (u64, u64)>,
@@ -131,7 +131,7 @@
         StateAnswer::Committed(Revision(self.revision))
     }
 
-    fn run(&mut self, now: u64, call: StateCall) -> StateAnswer {
+    pub fn run(&mut self, now: u64, call: StateCall) -> StateAnswer {
         self.expire(now);
         match call {
             StateCall::Get { key } => match self.rows.get(&key) {
