--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -12,6 +12,9 @@
 /// Tasks that one core is expected to run one after the other at the most.
 const MOST_WAVES: f64 = 4.0;
 
+/// Room kept for the ups of the usual load.
+const USUAL_HEADROOM: f64 = 1.1;
+
 /// Room kept for the ups of work that presses, over its average.
 const PRESSING_HEADROOM: f64 = 1.0;
 
@@ -289,6 +292,9 @@
         // What the work of late has kept busy on average is likely to be
         // wanted again: buying for it ahead saves late starts and churn.
         let (usual, usual_urgent) = self.usual_cpus(ahead);
+        let usual = usual * USUAL_HEADROOM;
+        // A load that spot machines cannot carry for good needs ordinary ones.
+        let usual_urgent = usual_urgent.max(usual);
         let now: f64 = groups.values().map(|g| g.cpus).sum();
         let now_urgent: f64 = groups.values().map(|g| g.urgent).sum();
         if let Some(group) = groups.values_mut().max_by(|a, b| a.cpus.total_cmp(&b.cpus)) {
