Openings that are booked are not offered again: idle machines fill

Cause: a machine's coming free was looked up without the bookings made on it in the same round, so one core was promised to every waiting task. Ruled out: team limits (rarely lacking), the reserve (2%), memory, the write rate (30 slices unwritten).

Test: openings.rs.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 mod buying;
 mod leading;
 mod membership;
+mod openings;
 mod part;
 mod preempting;
 mod rounds;
--- /dev/null
+++ b/src/coordination/openings.rs
@@ -0,0 +1,97 @@
+//! When a machine has room: what is free now, and what comes free when.
+
+/// Cores, GPUs and memory.
+pub(super) type Amounts = [f64; 3];
+
+pub(super) fn fits(free: &Amounts, need: &Amounts) -> bool {
+    free.iter().zip(need).all(|(f, n)| *f + 1e-6 >= *n)
+}
+
+pub(super) fn shift(free: &mut Amounts, by: &Amounts, sign: f64) {
+    free.iter_mut().zip(by).for_each(|(f, b)| *f += sign * b);
+}
+
+#[derive(Debug, Clone, Default)]
+pub(super) struct Openings {
+    pub free: Amounts,
+    /// What is freed (or, if negative, booked) from when on; times rising.
+    steps: Vec<(f64, Amounts)>,
+}
+
+impl Openings {
+    pub fn new(free: Amounts) -> Openings {
+        Openings { free, steps: vec![] }
+    }
+
+    /// Takes what a task on the machine holds, until it ends.
+    pub fn hold(&mut self, need: &Amounts, until: Option<f64>) {
+        shift(&mut self.free, need, -1.0);
+        if let Some(at) = until {
+            self.step(at, *need);
+        }
+    }
+
+    /// Time from which there is room for good; none if never. Room that frees
+    /// but is booked is not room: promised to every waiting task, one core
+    /// would keep them all from machines that stand idle.
+    pub fn wait(&self, need: &Amounts) -> Option<f64> {
+        let mut free = self.free;
+        let mut since = fits(&free, need).then_some(0.0);
+        for (at, freed) in &self.steps {
+            shift(&mut free, freed, 1.0);
+            since = if fits(&free, need) { since.or(Some(*at)) } else { None };
+        }
+        since
+    }
+
+    /// Books room from when there is some.
+    pub fn book(&mut self, need: &Amounts, wait: f64, until: f64) {
+        if wait > 0.0 {
+            // Taken from when it is free: what is free now stays so.
+            self.step(wait, need.map(|n| -n));
+        } else {
+            shift(&mut self.free, need, -1.0);
+        }
+        self.step(until, *need);
+    }
+
+    fn step(&mut self, at: f64, freed: Amounts) {
+        let place = self.steps.partition_point(|(t, _)| *t <= at);
+        self.steps.insert(place, (at, freed));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ONE: Amounts = [1.0, 0.0, 2.0];
+
+    fn busy() -> Openings {
+        let mut openings = Openings::new([2.0, 0.0, 8.0]);
+        openings.hold(&ONE, Some(3.0));
+        openings.hold(&ONE, Some(5.0));
+        openings
+    }
+
+    /// Each core that comes free was promised to any number of waiting tasks:
+    /// they all waited for it while whole machines stood idle.
+    #[test]
+    fn a_booked_opening_is_not_offered_again() {
+        let mut openings = busy();
+        assert_eq!(openings.wait(&ONE), Some(3.0));
+        openings.book(&ONE, 3.0, 13.0);
+        assert_eq!(openings.wait(&ONE), Some(5.0));
+        openings.book(&ONE, 5.0, 15.0);
+        assert_eq!(openings.wait(&ONE), Some(13.0));
+    }
+
+    #[test]
+    fn room_now_is_no_wait_and_services_never_leave() {
+        let _openings = busy();
+        assert_eq!(Openings::new([2.0, 0.0, 8.0]).wait(&ONE), Some(0.0));
+        let mut full = Openings::new(ONE);
+        full.hold(&ONE, None);
+        assert_eq!(full.wait(&ONE), None);
+    }
+}
--- a/src/coordination/preempting.rs
+++ b/src/coordination/preempting.rs
@@ -1,8 +1,9 @@
 //! Stopping tasks to make room for others: for a higher priority, or so that
 //! a team gets its guarantee.
 
+use super::openings::{fits, shift};
 use super::part::TaskKey;
-use super::rounds::{fits, needs, shift, Short};
+use super::rounds::{needs, Short};
 use super::*;
 use crate::bookkeeping::view::Job;
 use crate::protocol::users::Priority;
@@ -35,7 +36,7 @@
         let mut coming: Vec<[f64; 3]> = vec![];
         let seats = self.seats(part);
         for seat in &seats {
-            coming.push(self.room_coming(part, seat.name, seat.free));
+            coming.push(self.room_coming(part, seat.name, seat.openings.free));
         }
         for lack in short {
             let Some(job) = self.view.jobs.get(&lack.job) else { continue };
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -1,6 +1,7 @@
 //! Placement rounds: each waiting task goes where its expected completion is
 //! least, which may mean waiting for a busy machine.
 
+use super::openings::Openings;
 use super::part::{Machine, Mine, TaskKey};
 use super::scoring::{expected_completion, remaining, Prospect};
 use super::*;
@@ -95,53 +96,13 @@
     age_s: f64,
     /// Price per core.
     price: f64,
-    pub free: [f64; 3],
-    /// What running tasks will free, by when.
-    ends: Vec<(f64, [f64; 3])>,
+    pub openings: Openings,
 }
 
 pub(super) fn needs(record: &JobRecord) -> [f64; 3] {
     [record.spec.cpus, record.spec.gpus, record.spec.mem_gb]
 }
 
-pub(super) fn fits(free: &[f64; 3], need: &[f64; 3]) -> bool {
-    free.iter().zip(need).all(|(f, n)| *f + 1e-6 >= *n)
-}
-
-pub(super) fn shift(free: &mut [f64; 3], by: &[f64; 3], sign: f64) {
-    free.iter_mut().zip(by).for_each(|(f, b)| *f += sign * b);
-}
-
-impl Seat<'_> {
-    /// Time until there is room; none if never.
-    fn wait(&self, need: &[f64; 3]) -> Option<f64> {
-        let mut free = self.free;
-        if fits(&free, need) {
-            return Some(0.0);
-        }
-        self.ends.iter().find_map(|(at, freed)| {
-            shift(&mut free, freed, 1.0);
-            fits(&free, need).then_some(*at)
-        })
-    }
-
-    /// Books room from when there is some.
-    fn book(&mut self, need: &[f64; 3], wait: f64, until: f64) {
-        if wait > 0.0 {
-            // Taken from when it is free: what is free now stays so.
-            self.end(wait, need.map(|n| -n));
-        } else {
-            shift(&mut self.free, need, -1.0);
-        }
-        self.end(until, *need);
-    }
-
-    fn end(&mut self, at: f64, freed: [f64; 3]) {
-        let place = self.ends.partition_point(|(t, _)| *t <= at);
-        self.ends.insert(place, (at, freed));
-    }
-}
-
 /// Where a job's tasks are, for those that must stay together or apart.
 #[derive(Default)]
 pub(super) struct Spread {
@@ -330,30 +291,25 @@
             if !usable {
                 continue;
             }
-            let mut free = [type_.cpus, type_.gpus, type_.mem_gb];
-            let mut ends = vec![];
+            let mut openings = Openings::new([type_.cpus, type_.gpus, type_.mem_gb]);
             let known = mine.on.get(name);
             for key in known.into_iter().flatten() {
                 let Some(job) = self.view.jobs.get(&key.0) else { continue };
-                let need = needs(&job.record);
-                shift(&mut free, &need, -1.0);
-                if job.record.spec.kind != JobKind::Standing {
-                    ends.push((self.rest_of(mine, job, key), need));
-                }
+                let ends = job.record.spec.kind != JobKind::Standing;
+                openings.hold(&needs(&job.record), ends.then(|| self.rest_of(mine, job, key)));
             }
             // Tasks on the machine that nobody wants there still take room.
             for (key, (_, state, _)) in &machine.listed {
                 if *state != TaskState::Exited && !known.is_some_and(|k| k.contains(key)) {
                     if let Some(job) = self.view.jobs.get(&key.0) {
-                        shift(&mut free, &needs(&job.record), -1.0);
+                        openings.hold(&needs(&job.record), None);
                     }
                 }
             }
-            ends.sort_by(|a, b| a.0.total_cmp(&b.0));
             let age_s = self.now.since(machine.born).as_secs();
             let price = if machine.spot { type_.spot_price.unwrap_or(type_.price) } else { type_.price };
             let price = price / type_.cpus.max(1e-6);
-            seats.push(Seat { name, machine, type_, age_s, price, free, ends });
+            seats.push(Seat { name, machine, type_, age_s, price, openings });
         }
         seats
     }
@@ -364,7 +320,7 @@
         let mut used = self.mine.get(&part).map(|m| m.used.clone()).unwrap_or_default();
         let mut seats = self.seats(part);
         let reserve = self.reserve(seats.iter().map(|s| s.type_.cpus).sum());
-        let mut spare: f64 = seats.iter().map(|s| s.free[0].max(0.0)).sum();
+        let mut spare: f64 = seats.iter().map(|s| s.openings.free[0].max(0.0)).sum();
         let mut short: Vec<Short> = vec![];
         for id in order {
             if places.len() >= self.tuning.round_limit {
@@ -422,7 +378,7 @@
                             full = gang || waits >= MOST_WAITS;
                         }
                         Some((seat, wait, run)) => {
-                            seats[seat].book(&need, wait, wait + run);
+                            seats[seat].openings.book(&need, wait, wait + run);
                             scores[seat] = None;
                             if wait > 0.0 {
                                 waits += 1;
@@ -454,6 +410,7 @@
                 used = used_before;
             }
         }
+        self.log_part(part, &seats, places.len(), &short);
         drop(seats);
         for (key, attempt, machine) in places {
             tracing::debug!("task {}/{} attempt {attempt} to {machine}", key.0, key.1);
@@ -465,6 +422,20 @@
         self.make_room(part, &short);
     }
 
+    fn log_part(&self, part: PartId, seats: &[Seat], placed: usize, short: &[Short]) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let idle: f64 = seats.iter().map(|s| s.openings.free[0].max(0.0)).sum();
+        let cores: f64 = seats.iter().map(|s| s.type_.cpus).sum();
+        let cpus = |s: &Short| self.view.jobs.get(&s.job).map_or(0.0, |j| j.record.spec.cpus * s.tasks as f64);
+        let lacking: f64 = short.iter().map(cpus).sum();
+        let unwritten = self.mine.get(&part).map_or(0, |m| m.dirty.len());
+        tracing::debug!(
+            "part {part}: {idle:.0} of {cores:.0} cores idle, {placed} placed, {lacking:.0} cores lacking, {unwritten} slices unwritten"
+        );
+    }
+
     /// True if an aim says that tasks of the class must start quickly.
     pub(super) fn wants_quick_start(&self, class: &str) -> bool {
         let aims = &self.settings.cluster.objectives;
@@ -540,7 +511,7 @@
             // can be given back.
             let near = if quick { 0.3 } else { 0.5 + run_s * NEAR };
             let rounded = (score / near).round();
-            let rank = (rounded, (seat.price * 1000.0).round(), seat.free[0]);
+            let rank = (rounded, (seat.price * 1000.0).round(), seat.openings.free[0]);
             let better = best.is_none_or(|b| rank < b.0);
             if better {
                 best = Some((rank, index, wait, run_s));
@@ -574,7 +545,7 @@
     /// Expected completion and wait for room; infinite if there is none.
     fn score(&self, seat: &Seat, job: &Job, need: &[f64; 3], run_s: f64) -> (f64, f64) {
         let spec = &job.record.spec;
-        let Some(wait) = seat.wait(need) else { return (f64::INFINITY, 0.0) };
+        let Some(wait) = seat.openings.wait(need) else { return (f64::INFINITY, 0.0) };
         let service = spec.kind == JobKind::Standing;
         if wait > 0.0 && (service || !self.tuning.may_wait) {
             return (f64::INFINITY, 0.0);
