Starts are written before exits; exits gather while writes are scarce

Cause: 15 to 50 slices of a part waited for its share of writes, oldest first, so a start waited up to 2 s behind exits whose machines were free already. Test: starts_are_written_before_exits_but_nothing_starves.

--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -14,6 +14,10 @@
         Budget { per_s, level: per_s, at: Time(0) }
     }
 
+    pub fn per_s(&self) -> f64 {
+        self.per_s
+    }
+
     fn refill(&mut self, now: Time) {
         self.level = (self.level + self.per_s * now.since(self.at).as_secs()).min(self.per_s);
         self.at = self.at.max(now);
--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -5,7 +5,7 @@
 use crate::bookkeeping::records::{
     allowance_key, job_key, owner_key, slice_key, AllowanceRecord, End, JobRecord, SliceRecord, TaskRecord,
 };
-use crate::bookkeeping::view::Job;
+use crate::bookkeeping::view::{Job, Slice};
 use crate::protocol::workers::TaskState;
 use crate::units::{Attempt, Seq, Session};
 
@@ -95,6 +95,51 @@
     }
 }
 
+/// How soon a slice's changes should be durable; less is sooner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Haste {
+    /// A machine stands ready for a task that may start once this is written.
+    Start,
+    /// The end of a slice, perhaps of its job, or what has waited long.
+    Soon,
+    /// Exits: the machine is free already, and more will come.
+    Exit,
+    /// Clearing away.
+    Whenever,
+}
+
+impl Haste {
+    /// What has waited for so long must not starve.
+    fn after(self, waited: Span) -> Haste {
+        let patience = match self {
+            Haste::Start | Haste::Soon => return self,
+            Haste::Exit => Span(2000),
+            Haste::Whenever => Span(6000),
+        };
+        if waited >= patience {
+            Haste::Soon
+        } else {
+            self
+        }
+    }
+}
+
+fn haste_of(slice: &Slice, ended: bool) -> Haste {
+    let Some(want) = &slice.want else { return Haste::Whenever };
+    if ended {
+        return Haste::Whenever;
+    }
+    let durable = |at: usize| slice.held.record.as_ref().and_then(|r| r.tasks.get(at));
+    let starts = |(at, task): (usize, &TaskRecord)| matches!(task, TaskRecord::On(..)) && durable(at) != Some(task);
+    if want.tasks.iter().enumerate().any(starts) {
+        Haste::Start
+    } else if want.is_done() {
+        Haste::Soon
+    } else {
+        Haste::Exit
+    }
+}
+
 /// The change that makes a slice of a job as it is wanted, if one is needed.
 fn slice_change(job: &Job, id: &JobRef, index: usize) -> Option<Change> {
     let slice = &job.slices[index];
@@ -325,8 +370,16 @@
         if limit < 2 {
             return;
         }
-        let mut order: Vec<(Time, (JobRef, usize))> = mine.dirty.iter().map(|(k, t)| (*t, k.clone())).collect();
+        let mut order: Vec<(Haste, Time, (JobRef, usize))> = vec![];
+        for (key, since) in &mine.dirty {
+            let slice = self.view.jobs.get(&key.0).and_then(|j| Some((j.record.end, j.slices.get(key.1)?)));
+            let haste = slice.map_or(Haste::Whenever, |(end, slice)| haste_of(slice, end.is_some()));
+            order.push((haste.after(self.now.since(*since)), *since, key.clone()));
+        }
         order.sort();
+        // Writes are scarce: what can wait for more to come to the same slice
+        // leaves half of them to starts.
+        let thrifty = level < self.writes.per_s() / 2.0;
         let mut txn = Txn {
             conditions: vec![Condition { key: owner_key(part), version: Revision(mine.token.0) }],
             changes: vec![],
@@ -334,7 +387,10 @@
         let mut sent = vec![];
         let mut jobs = BTreeSet::new();
         let mut bytes = 0;
-        for (_, (id, index)) in order {
+        for (haste, _, (id, index)) in order {
+            if thrifty && haste > Haste::Soon {
+                break;
+            }
             let Some(job) = self.view.jobs.get(&id) else { continue };
             let Some(change) = job.slices.get(index).and_then(|_| slice_change(job, &id, index)) else {
                 sent.push((id, index));
@@ -511,3 +567,27 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::bookkeeping::view::Held;
+
+    fn slice(held: &[TaskRecord], want: &[TaskRecord]) -> Slice {
+        let record = |tasks: &[TaskRecord]| Some(SliceRecord { tasks: tasks.to_vec() });
+        Slice { held: Held { record: record(held), ..Held::default() }, want: record(want) }
+    }
+
+    /// Starts waited seconds behind exits for the part's share of writes.
+    #[test]
+    fn starts_are_written_before_exits_but_nothing_starves() {
+        let on = |n: u64| TaskRecord::On(Attempt(n), MachineId::new("i-000001"));
+        let start = haste_of(&slice(&[on(1), TaskRecord::Idle(Attempt(0))], &[TaskRecord::Done, on(1)]), false);
+        let exit = haste_of(&slice(&[on(1), on(1)], &[TaskRecord::Done, on(1)]), false);
+        let last = haste_of(&slice(&[TaskRecord::Done, on(1)], &[TaskRecord::Done, TaskRecord::Done]), false);
+        assert!(start < last && last < exit, "{start:?} {last:?} {exit:?}");
+        assert_eq!(exit.after(Span(500)), Haste::Exit);
+        assert_eq!(exit.after(Span(2500)), Haste::Soon);
+        assert_eq!(haste_of(&slice(&[on(1)], &[on(1)]), true).after(Span(9000)), Haste::Soon);
+    }
+}
