--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -436,10 +436,15 @@
         );
     }
 
-    /// True if an aim says that tasks of the class must start quickly.
+    /// True if an aim says that tasks of the class must start sooner than a
+    /// machine rented for them would be up. An aim on longer waits is no
+    /// claim on the reserve: such a class would eat it.
     pub(super) fn wants_quick_start(&self, class: &str) -> bool {
-        let aims = &self.settings.cluster.objectives;
-        aims.iter().any(|o| o.kind == "wait" && o.class.as_deref() == Some(class))
+        let boot_s = self.catalog.values().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        let mut aims = self.settings.cluster.objectives.iter();
+        aims.any(|o| {
+            o.kind == "wait" && o.class.as_deref() == Some(class) && o.within_s.is_some_and(|within| within < boot_s)
+        })
     }
 
     /// Cores that a part keeps free for work that must start at once: those
