--- a/src/coordination/leading.rs
+++ b/src/coordination/leading.rs
@@ -60,10 +60,17 @@
         if !self.leading() || !self.state_fresh() || self.now < self.retry_state_at {
             return;
         }
-        self.deal();
+        self.deal(true);
         self.run_fleet();
     }
 
+    /// Deals jobs as they come, between two housekeepings.
+    pub(super) fn deal_new(&mut self) {
+        if self.leading() && self.state_fresh() && self.now >= self.retry_state_at {
+            self.deal(false);
+        }
+    }
+
     fn room(&self) -> Room {
         let mut used: BTreeMap<&MachineId, [f64; 3]> = BTreeMap::new();
         for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)) {
@@ -102,11 +109,11 @@
 
     /// Deals new large arrays, and moves idle slices from parts without
     /// room for them to parts with.
-    fn deal(&mut self) {
+    fn deal(&mut self, move_too: bool) {
         let mut jobs: Vec<(i64, JobRef)> = vec![];
         for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id) else { continue };
-            let movable = job.slices.iter().any(|s| s.movable());
+            let movable = move_too && job.slices.iter().any(|s| s.movable());
             if job.record.end.is_none() && (job.record.plan.is_none() || movable) {
                 jobs.push((((self.allowed_s(job) - self.age_s(job)) * 1000.0) as i64, id.clone()));
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -243,6 +243,9 @@
     next_note: Time,
     next_round: Time,
     next_housekeeping: Time,
+    /// A job came that is to be cut and dealt; it must not wait for the next housekeeping.
+    deal_soon: bool,
+    next_deal: Time,
     catalog: BTreeMap<String, MachineType>,
     catalog_at: Option<Time>,
     cloud: buying::Fleet,
@@ -287,6 +290,8 @@
             next_note: Time(0),
             next_round: Time(0),
             next_housekeeping: Time(0),
+            deal_soon: false,
+            next_deal: Time(0),
             catalog: BTreeMap::new(),
             catalog_at: None,
             cloud: buying::Fleet::default(),
@@ -322,6 +327,11 @@
             self.next_housekeeping = self.now + Span(500);
             self.housekeeping();
         }
+        if self.deal_soon && self.now >= self.next_deal {
+            self.deal_soon = false;
+            self.next_deal = self.now + Span(self.tuning.round_ms);
+            self.deal_new();
+        }
         if self.now >= self.next_round {
             self.next_round = self.now + Span(self.tuning.round_ms);
             self.rounds();
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -19,6 +19,9 @@
 /// count as equal.
 const NEAR: f64 = 0.08;
 
+/// Machines that fetch images at least this share as fast as the fastest hold the reserve.
+const PRIME: f64 = 0.75;
+
 /// The largest share of a part that is kept free.
 const MOST_RESERVED: f64 = 0.02;
 
@@ -320,7 +323,10 @@
         let mut used = self.mine.get(&part).map(|m| m.used.clone()).unwrap_or_default();
         let mut seats = self.seats(part);
         let reserve = self.reserve(seats.iter().map(|s| s.type_.cpus).sum());
-        let mut spare: f64 = seats.iter().map(|s| s.openings.free[0].max(0.0)).sum();
+        // The reserve is kept where images come fastest, if the part has such.
+        let fastest = seats.iter().map(|s| s.type_.fetch_gb_per_s).fold(0.0, f64::max);
+        let prime = |seat: &Seat| seat.type_.fetch_gb_per_s >= fastest * PRIME;
+        let mut spare: f64 = seats.iter().filter(|s| prime(s)).map(|s| s.openings.free[0].max(0.0)).sum();
         let mut short: Vec<Short> = vec![];
         for id in order {
             if places.len() >= self.tuning.round_limit {
@@ -355,13 +361,10 @@
                     let team = used.entry(job.record.spec.team.clone()).or_default();
                     let over = |limit: Option<f64>, used: f64, need: f64| limit.is_some_and(|l| used + need > l + 1e-9);
                     let over = over(limits.0, team.0, need[0]) || over(limits.1, team.1, need[1]);
-                    if !quick && reserve > 0.0 && spare - need[0] < reserve {
-                        // What is left is for work that must start at once.
-                        lacking.tasks += 1;
-                        full = true;
-                        continue;
-                    }
-                    match self.best_seat(&seats, job, &need, &spread, &mut scores) {
+                    // What is left there is for work that must start at once.
+                    let kept = !quick && reserve > 0.0 && spare - need[0] < reserve;
+                    let open = |seat: &Seat| !(kept && prime(seat));
+                    match self.best_seat(&seats, job, &need, &spread, &mut scores, open) {
                         None => {
                             lacking.tasks += 1;
                             full = true;
@@ -389,7 +392,9 @@
                             }
                             team.0 += need[0];
                             team.1 += need[1];
-                            spare -= need[0];
+                            if prime(&seats[seat]) {
+                                spare -= need[0];
+                            }
                             if job.record.spec.whole() {
                                 *spread.by_zone.entry(seats[seat].machine.zone.clone()).or_default() += 1;
                                 scores.fill(None);
@@ -485,6 +490,7 @@
         need: &[f64; 3],
         spread: &Spread,
         scores: &mut [Option<(f64, f64)>],
+        open: impl Fn(&Seat) -> bool,
     ) -> Option<(usize, f64, f64)> {
         if spread.unknown {
             return None;
@@ -494,7 +500,7 @@
         let quick = self.wants_quick_start(&spec.class);
         let mut best: Option<(Rank, usize, f64, f64)> = None;
         for (index, seat) in seats.iter().enumerate() {
-            if !self.allowed(job, seat, spread) {
+            if !open(seat) || !self.allowed(job, seat, spread) {
                 continue;
             }
             let (score, wait) = match scores[index] {
