Of work that cannot all be in time, the largest jobs step back

Cause: by least time to spare alone, a burst makes all jobs a little late one after the other; and a job past its first aim was served last although it could still meet the next one. Change: Moore and Hodgson's rule on the part's estimate of the fleet; the nearest aim still within reach.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 mod openings;
 mod part;
 mod preempting;
+mod queue;
 mod rounds;
 pub mod scoring;
 mod users;
--- /dev/null
+++ b/src/coordination/queue.rs
@@ -0,0 +1,92 @@
+//! In which order jobs are served.
+
+/// A job with work left, as the queue sees it.
+pub(super) struct Contender<R, I> {
+    /// Less goes first, whatever the time.
+    pub rank: R,
+    /// Time until it should be complete.
+    pub left_s: f64,
+    pub run_s: f64,
+    /// Core seconds still to be done.
+    pub work: f64,
+    /// When it was accepted.
+    pub at: u64,
+    pub id: I,
+}
+
+/// A little lateness is forgiven: estimates are not that good.
+const GRACE_S: f64 = 5.0;
+
+/// Orders jobs by rank, then by what time they have to spare. With more work
+/// than `cpus` can do in time, going by that alone makes all jobs late a
+/// little each; so of what could not all be in time the largest jobs step
+/// back until the rest can (as Moore and Hodgson order one machine's jobs).
+pub(super) fn serve_order<R: Ord, I: Ord>(mut queue: Vec<Contender<R, I>>, cpus: f64) -> Vec<I> {
+    let due = |c: &Contender<R, I>| (c.left_s * 1000.0) as i64;
+    queue.sort_by(|a, b| (&a.rank, due(a), a.at, &a.id).cmp(&(&b.rank, due(b), b.at, &b.id)));
+    let mut before = 0.0;
+    let mut late = vec![false; queue.len()];
+    let mut start = 0;
+    while start < queue.len() {
+        let end = start + queue[start..].iter().take_while(|c| c.rank == queue[start].rank).count();
+        let mut kept: Vec<usize> = vec![];
+        let mut work = before;
+        for at in start..end {
+            let c = &queue[at];
+            if c.left_s - c.run_s < -GRACE_S {
+                late[at] = true;
+                continue;
+            }
+            kept.push(at);
+            work += c.work;
+            // The last of its tasks begin when nearly all before is done.
+            if cpus > 0.0 && work / cpus + 0.25 * c.run_s > c.left_s + GRACE_S {
+                let largest = (0..kept.len()).max_by(|a, b| queue[kept[*a]].work.total_cmp(&queue[kept[*b]].work));
+                if let Some(index) = largest {
+                    let gone = kept.remove(index);
+                    work -= queue[gone].work;
+                    late[gone] = true;
+                }
+            }
+        }
+        before = work;
+        start = end;
+    }
+    let spare = |c: &Contender<R, I>| (c.left_s - c.run_s) as i64;
+    let mut order: Vec<(Contender<R, I>, bool)> = queue.into_iter().zip(late).collect();
+    order.sort_by(|(a, a_late), (b, b_late)| {
+        let time = |c: &Contender<R, I>, late: bool| if late { 0 } else { spare(c) };
+        (&a.rank, a_late, time(a, *a_late), a.at, &a.id).cmp(&(&b.rank, b_late, time(b, *b_late), b.at, &b.id))
+    });
+    order.into_iter().map(|(c, _)| c.id).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn job(id: u32, left_s: f64, work: f64) -> Contender<u8, u32> {
+        Contender { rank: 1, left_s, run_s: 10.0, work, at: u64::from(id), id }
+    }
+
+    #[test]
+    fn with_room_for_all_the_least_spare_time_goes_first() {
+        let order = serve_order(vec![job(1, 90.0, 100.0), job(2, 40.0, 100.0), job(3, 60.0, 100.0)], 10.0);
+        assert_eq!(order, [2, 3, 1]);
+    }
+
+    /// In a burst all jobs came to be a little late, one after the other.
+    #[test]
+    fn of_too_much_work_the_largest_job_steps_back() {
+        let order = serve_order(vec![job(1, 40.0, 380.0), job(2, 45.0, 100.0), job(3, 50.0, 100.0)], 10.0);
+        assert_eq!(order, [2, 3, 1]);
+    }
+
+    #[test]
+    fn hopeless_work_yields_but_not_across_ranks() {
+        let mut low = job(3, 500.0, 10.0);
+        low.rank = 2;
+        let order = serve_order(vec![job(1, 2.0, 10.0), job(2, 90.0, 10.0), low], 10.0);
+        assert_eq!(order, [2, 1, 3]);
+    }
+}
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -3,10 +3,11 @@
 
 use super::openings::Openings;
 use super::part::{Machine, Mine, TaskKey};
+use super::queue::{serve_order, Contender};
 use super::scoring::{expected_completion, remaining, Prospect};
 use super::*;
 use crate::bookkeeping::lifetimes::{History, Life};
-use crate::bookkeeping::records::{JobRecord, TaskRecord};
+use crate::bookkeeping::records::{JobRecord, SliceRecord, TaskRecord};
 use crate::bookkeeping::view::Job;
 use crate::protocol::users::{JobKind, Priority};
 use crate::protocol::workers::TaskState;
@@ -198,38 +199,43 @@
     }
 
     /// Jobs with work left, in the order they are served: priority first,
-    /// then work within a guarantee, then the least time to spare.
+    /// then work within a guarantee, then the least time to spare. What cannot
+    /// be in time with all that goes before it yields.
     fn waiting_jobs(&self) -> Vec<JobRef> {
         let guaranteed = self.guaranteed_jobs();
-        let mut order: Vec<(bool, bool, std::cmp::Reverse<Priority>, i64, u64, JobRef)> = vec![];
+        let mut queue: Vec<Contender<(bool, bool, std::cmp::Reverse<Priority>), JobRef>> = vec![];
+        let mut ours: BTreeSet<&JobRef> = BTreeSet::new();
         for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id) else { continue };
-            if job.record.end.is_some() || job.slices.is_empty() || self.learned.held_back(id, self.now) {
+            if job.record.end.is_some() || self.learned.held_back(id, self.now) {
                 continue;
             }
-            let ours = (0..job.slices.len()).any(|s| {
-                job.slices[s].want.as_ref().is_some_and(|w| w.tasks.iter().any(|t| matches!(t, TaskRecord::Idle(_))))
-            });
-            if !ours {
-                continue;
+            let idle = |w: &SliceRecord| w.tasks.iter().any(|t| matches!(t, TaskRecord::Idle(_)));
+            if job.slices.iter().any(|s| s.want.as_ref().is_some_and(idle)) {
+                ours.insert(id);
             }
             let spec = &job.record.spec;
-            let urgent = spec.priority >= Priority::High;
-            let spare = (self.allowed_s(job) - self.age_s(job) - self.learned.run_time(&spec.class, spec.estimate_s))
-                .clamp(-1e6, 1e6);
-            // Hopelessly late work yields to what can still be in time.
-            let spare = if spare < -5.0 { 1e5 } else { spare };
-            order.push((
-                !urgent,
-                !guaranteed.contains(id),
-                std::cmp::Reverse(spec.priority),
-                spare as i64,
-                job.record.at,
-                id.clone(),
-            ));
+            let run_s = self.learned.run_time(&spec.class, spec.estimate_s);
+            let (done, on) = job.counts();
+            let left = f64::from(spec.tasks.saturating_sub(done + on)) + f64::from(on) * 0.5;
+            queue.push(Contender {
+                rank: (spec.priority < Priority::High, !guaranteed.contains(id), std::cmp::Reverse(spec.priority)),
+                left_s: (self.allowed_s(job) - self.age_s(job)).clamp(-1e6, 1e6),
+                run_s,
+                work: left * spec.cpus * run_s,
+                at: job.record.at,
+                id: id.clone(),
+            });
         }
-        order.sort();
-        order.into_iter().map(|o| o.5).collect()
+        let order = serve_order(queue, self.cluster_cpus());
+        order.into_iter().filter(|id| ours.contains(id)).collect()
+    }
+
+    /// Cores of all parts, judged by ours: machines hash to parts evenly.
+    fn cluster_cpus(&self) -> f64 {
+        let machines = self.mine.values().flat_map(|m| m.machines.values());
+        let ours: f64 = machines.filter_map(|m| self.catalog.get(&m.kind)).map(|t| t.cpus).sum();
+        ours * f64::from(self.parts) / self.mine.len().max(1) as f64
     }
 
     /// Age of a job, estimated by the time of day.
@@ -237,22 +243,22 @@
         self.wall_ms.saturating_sub(job.record.at) as f64 / 1000.0
     }
 
-    /// Time a job may take from its submission, as its user or the aims say.
+    /// Time a job may take from its submission, as its user says, or the
+    /// nearest of the aims that it can still meet.
     pub(super) fn allowed_s(&self, job: &Job) -> f64 {
         let spec = &job.record.spec;
         if let Some(deadline) = spec.deadline_s {
             return deadline;
         }
+        let soonest = self.age_s(job) + 0.5 * self.learned.run_time(&spec.class, spec.estimate_s);
         let aims = self.settings.cluster.objectives.iter();
-        let aim = aims
+        let mut within: Vec<f64> = aims
             .filter(|o| o.class.as_deref() == Some(&spec.class) && o.kind == "finished")
             .filter_map(|o| o.within_s)
-            .fold(f64::INFINITY, f64::min);
-        if aim.is_finite() {
-            aim
-        } else {
-            600.0 + spec.estimate_s * 3.0
-        }
+            .collect();
+        within.sort_by(f64::total_cmp);
+        let open = within.iter().find(|w| **w >= soonest).or(within.last());
+        open.copied().unwrap_or(600.0 + spec.estimate_s * 3.0)
     }
 
     /// Jobs that fit into their team's guarantee along with its earlier ones.
