Workers cut off from their owner are kept by a node that they reach

Change: a node that does not hear an owner notes so under the part, on its own lease, and answers the part's workers in the owner's name, starting nothing. An owner gives silent machines up only after a comparison, made once their leases must be over, found no such note.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -23,6 +23,10 @@
 pub fn job_key(job: &JobRef) -> String {
     format!("t/j/{job}")
 }
+/// A node's note that it answers workers of a part in its owner's name.
+pub fn keep_key(part: PartId, node: &NodeName) -> String {
+    format!("t/w/{part}/{node}")
+}
 pub fn slice_key(job: &JobRef, slice: usize) -> String {
     format!("t/s/{job}/{slice}")
 }
@@ -38,6 +42,7 @@
     Allowance(PartId),
     Job(JobRef),
     Slice(JobRef, usize),
+    Keep(PartId, NodeName),
 }
 
 impl Key {
@@ -54,6 +59,10 @@
             "o" => Key::Owner(PartId(rest.parse().ok()?)),
             "a" => Key::Allowance(PartId(rest.parse().ok()?)),
             "j" => Key::Job(JobRef::new(rest)),
+            "w" => {
+                let (part, node) = rest.split_once('/')?;
+                Key::Keep(PartId(part.parse().ok()?), NodeName::new(node))
+            }
             "s" => {
                 let (job, slice) = rest.rsplit_once('/')?;
                 Key::Slice(JobRef::new(job), slice.parse().ok()?)
@@ -251,6 +260,8 @@
         assert_eq!(Key::read(&slice_key(&job, 3)), Some(Key::Slice(job.clone(), 3)));
         assert_eq!(Key::read(&job_key(&job)), Some(Key::Job(job)));
         assert_eq!(Key::read(&owner_key(PartId(2))), Some(Key::Owner(PartId(2))));
+        let node = NodeName::new("n1");
+        assert_eq!(Key::read(&keep_key(PartId(2), &node)), Some(Key::Keep(PartId(2), node)));
         assert_eq!(Key::read("elsewhere"), None);
     }
 }
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -95,6 +95,7 @@
     Leader,
     Owner(PartId),
     Node,
+    Keep(PartId),
     Job(JobRef),
     Slice(JobRef, usize),
     Fleet,
@@ -110,6 +111,8 @@
     pub catalog: Held<Catalog>,
     pub fleet: Held<FleetRecord>,
     pub allowances: BTreeMap<PartId, Held<AllowanceRecord>>,
+    /// Who answers workers of a part in its owner's name.
+    pub keeps: BTreeMap<(PartId, NodeName), Held<NodeRecord>>,
     pub jobs: BTreeMap<JobRef, Job>,
     /// Jobs with anything left to do or to clear away.
     pub active: BTreeSet<JobRef>,
@@ -149,6 +152,10 @@
                 let record = read(key, value)?;
                 changed(self.owners.entry(part).or_default().take(at, record), Changed::Owner(part))
             }
+            Key::Keep(part, node) => {
+                let record = read(key, value)?;
+                changed(self.keeps.entry((part, node)).or_default().take(at, record), Changed::Keep(part))
+            }
             Key::Allowance(part) => {
                 let record = read(key, value)?;
                 changed(self.allowances.entry(part).or_default().take(at, record), Changed::Other)
@@ -213,6 +220,7 @@
         absent.extend(self.nodes.keys().map(r::node_key));
         absent.extend(self.owners.keys().map(|&p| r::owner_key(p)));
         absent.extend(self.allowances.keys().map(|&p| r::allowance_key(p)));
+        absent.extend(self.keeps.keys().map(|(part, node)| r::keep_key(*part, node)));
         absent.push(r::LEADER_KEY.into());
         for (id, job) in &self.jobs {
             for (index, slice) in job.slices.iter().enumerate() {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! the time go in; what to send, write and answer comes out.
 
 mod buying;
+mod keeping;
 mod leading;
 mod membership;
 mod openings;
@@ -26,6 +27,9 @@
 use part::Mine;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// How often controllers tell one another how they are.
+const NOTE_EVERY: Span = Span(1000);
+
 /// What a user asks.
 #[derive(Debug, Clone)]
 pub enum Ask {
@@ -146,6 +150,8 @@
         first: Option<Revision>,
     },
     Watch,
+    /// Whether anybody keeps machines of the part.
+    Compare(PartId),
     Grant,
     Renew(LeaseId),
     /// A transaction whose outcome the watch or a conflict read shows.
@@ -216,6 +222,8 @@
     me: NodeName,
     parts: u32,
     now: Time,
+    /// When this life of the node began.
+    began: Time,
     wall_ms: u64,
     out: Vec<Output>,
     last_call: u64,
@@ -268,6 +276,7 @@
             settings,
             tuning,
             now: Time(0),
+            began: Time(0),
             wall_ms: 0,
             out: vec![],
             last_call: 0,
@@ -338,13 +347,14 @@
             self.rounds();
         }
         if self.now >= self.next_note {
-            self.next_note = self.now + Span(1000);
+            self.next_note = self.now + NOTE_EVERY;
             self.tell();
         }
     }
 
     fn housekeeping(&mut self) {
         self.refresh_catalog();
+        self.tend_notes();
         self.expire_machines();
         self.lead();
         self.share_allowances();
@@ -394,6 +404,7 @@
         match what {
             Pending::Load { seen, first } => self.load_answer(seen, first, sent, answer),
             Pending::Watch => self.watch_answer(sent, answer),
+            Pending::Compare(part) => self.compared(part, answer),
             Pending::Grant => self.grant_answer(answer),
             Pending::Renew(lease) => self.renew_answer(lease, answer),
             // A gift of allowance counts as given until it is known not to be:
@@ -494,6 +505,7 @@
             Changed::Owner(part) => self.owner_changed(part),
             Changed::Job(job) => self.job_changed(&job),
             Changed::Slice(job, slice) => self.slice_changed(&job, slice),
+            Changed::Keep(part) => self.keep_changed(part),
             Changed::Fleet => self.fleet_changed(),
             Changed::Other => self.catalog_changed(),
             Changed::Leader | Changed::Node | Changed::Nothing => {}
--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -1,6 +1,7 @@
 //! A part that this node owns: its machines, its tasks, and the transactions
 //! that make changes durable before they take effect.
 
+use super::keeping::Verdict;
 use super::*;
 use crate::bookkeeping::records::{
     allowance_key, job_key, owner_key, slice_key, AllowanceRecord, End, JobRecord, SliceRecord, TaskRecord,
@@ -56,6 +57,9 @@
     pub inflight: Option<CallId>,
     pub rereads: usize,
     pub retry_at: Time,
+    /// When somebody may last have kept machines of the part for us.
+    pub unkept: Time,
+    pub verdict: Verdict,
     /// Tasks to be stopped, with the time they may take to save.
     pub stopping: BTreeMap<TaskKey, f64>,
     /// When each task was first reported to run.
@@ -80,6 +84,8 @@
             inflight: None,
             rereads: 0,
             retry_at: Time(0),
+            unkept: now,
+            verdict: Verdict::None,
             stopping: BTreeMap::new(),
             running_since: BTreeMap::new(),
             used: BTreeMap::new(),
@@ -169,6 +175,7 @@
                 mine.ready = true;
                 // What earlier owners left may be cut off behind them; see `proof_by_silence`.
                 mine.since = self.now;
+                mine.unkept = self.now;
             }
         }
     }
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -7,14 +7,14 @@
 use crate::units::{Attempt, Seq, Session};
 
 /// The most commands of one answer; the next report fetches the rest.
-const MOST_COMMANDS: usize = 200;
+pub(super) const MOST_COMMANDS: usize = 200;
 
 impl Core {
     pub(super) fn report(&mut self, request: RequestId, report: Report) {
         let part = self.part_of(&report.machine);
         let Some(mine) = self.mine.get(&part) else {
-            let owner = self.view.owner(part).filter(|o| **o != self.me).cloned();
-            return self.reply(request, Reply::Elsewhere(owner));
+            let reply = self.answer_stranger(part, &report);
+            return self.reply(request, reply);
         };
         let token = mine.token;
         // Cut off from the records for too long, or known to be superseded:
@@ -203,41 +203,8 @@
         }
     }
 
-    /// Gives up machines that nobody can have kept: their workers have
-    /// killed everything when their lease ran out.
-    pub(super) fn expire_machines(&mut self) {
-        let now = self.now;
-        let lease = self.timing.worker_lease;
-        let unread = self.timing.horizon + lease;
-        let mut gone = vec![];
-        for (part, mine) in &self.mine {
-            if !mine.ready {
-                continue;
-            }
-            let names: BTreeSet<&MachineId> = mine.on.keys().chain(mine.machines.keys()).collect();
-            for name in names {
-                let machine = mine.machines.get(name);
-                // Until the worker has seen our token, an owner before us that
-                // is cut off from the records may have kept its lease alive
-                // for as long as its horizon lets it.
-                let until = match machine {
-                    Some(m) if m.acked => m.last_report + lease,
-                    Some(m) => (m.last_report + lease).max(mine.since + unread),
-                    None => mine.since + unread,
-                };
-                if now > until || self.returned(name) {
-                    gone.push((*part, name.clone()));
-                }
-            }
-        }
-        for (part, name) in gone {
-            tracing::info!("nothing is left on {name}");
-            self.clear_machine(part, &name);
-        }
-    }
-
     /// Everything that was on the machine is gone for certain.
-    fn clear_machine(&mut self, part: PartId, name: &MachineId) {
+    pub(super) fn clear_machine(&mut self, part: PartId, name: &MachineId) {
         let Some(mine) = self.mine.get_mut(&part) else { return };
         let keys: Vec<TaskKey> = mine.on.get(name).into_iter().flatten().cloned().collect();
         if let Some(machine) = mine.machines.remove(name) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -87,6 +87,23 @@
     }
 }
 
+/// Workers cut off from their owner lost all tasks after a lease, though a
+/// node that they could reach was there to answer in its name.
+#[test]
+fn workers_cut_off_from_their_owner_are_kept_by_another_node() {
+    let mut world = World::new(5, 10.0);
+    work(&mut world);
+    world.fault(30_000, Fault::PeersCut { for_ms: 25_000 });
+    for zone in 0..2 {
+        world.fault(30_000, Fault::Cut { node: 0, zone, for_ms: 25_000, hold: false });
+    }
+    world.run(60_000);
+    assert_eq!(world.sessions_ended(), 0);
+    world.run(420_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
+}
+
 /// The checker can fail: controllers that believe leases to be shorter than
 /// they are start tasks of silent machines again too early.
 #[test]
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -854,4 +854,9 @@
         let open = |j: &Job| j.accepted && !j.done_told && j.cancel_told.is_none();
         self.jobs.iter().filter(|(_, j)| open(j)).map(|(id, _)| id).collect()
     }
+
+    /// Leases of living workers that have run out.
+    pub fn sessions_ended(&self) -> u64 {
+        self.workers.iter().filter(|w| w.alive).map(|w| w.session - 1).sum()
+    }
 }
