Headroom for the swing of work that cannot wait for a boot

A flat 10% over the average is little for few large jobs. Change: the standard deviation of the load of pressing jobs, from the cores and run times of those of the last 150 s, comes on top. Test: few_large_jobs_swing_more_than_many_small_ones.

--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -15,9 +15,6 @@
 /// Room kept for the ups of the usual load.
 const USUAL_HEADROOM: f64 = 1.1;
 
-/// Room kept for the ups of work that presses, over its average.
-const PRESSING_HEADROOM: f64 = 1.0;
-
 /// Names of returned machines remembered in the record.
 const MOST_GONE: usize = 60;
 
@@ -77,6 +74,14 @@
     spot: bool,
 }
 
+/// Standard deviation of the cores that jobs keep busy which come by chance,
+/// given the cores and run times of those that came within `time`: work that
+/// cannot wait for a machine to boot needs room for its ups, and the ups of a
+/// few large jobs are higher than those of many small ones.
+fn swing(jobs: &[(f64, f64)], time: f64) -> f64 {
+    (jobs.iter().map(|(cpus, run)| cpus * cpus * run).sum::<f64>() / time.max(1.0)).sqrt()
+}
+
 impl Core {
     pub(super) fn draining(&self, name: &MachineId) -> bool {
         let record = self.view.fleet.record.as_ref();
@@ -291,10 +296,10 @@
         }
         // What the work of late has kept busy on average is likely to be
         // wanted again: buying for it ahead saves late starts and churn.
-        let (usual, usual_urgent) = self.usual_cpus(ahead);
-        let usual = usual * USUAL_HEADROOM;
+        let (usual, swing) = self.usual_cpus(ahead);
+        let usual = usual * USUAL_HEADROOM + swing;
         // A load that spot machines cannot carry for good needs ordinary ones.
-        let usual_urgent = usual_urgent.max(usual);
+        let usual_urgent = usual;
         let now: f64 = groups.values().map(|g| g.cpus).sum();
         let now_urgent: f64 = groups.values().map(|g| g.urgent).sum();
         if let Some(group) = groups.values_mut().max_by(|a, b| a.cpus.total_cmp(&b.cpus)) {
@@ -320,24 +325,26 @@
         spec.kind != JobKind::Array || left < run * 2.2 + ahead
     }
 
-    /// Cores that the jobs of the last while keep busy on average: all, and
-    /// those of jobs that press from the start.
+    /// Cores that the jobs of the last while keep busy on average, and how far
+    /// those of jobs that press from the start swing about theirs.
     fn usual_cpus(&self, ahead: f64) -> (f64, f64) {
-        let (mut all, mut pressing) = (0.0, 0.0);
+        let mut all = 0.0;
+        let mut pressing = vec![];
         let mut oldest: f64 = 0.0;
         for job in self.view.jobs.values() {
             let (spec, age) = (&job.record.spec, self.age_s(job));
             if age < USUAL_S && spec.kind == JobKind::Array {
-                let work = spec.cpus * f64::from(spec.tasks) * self.learned.run_time(&spec.class, spec.estimate_s);
-                all += work;
+                let (cpus, run) =
+                    (spec.cpus * f64::from(spec.tasks), self.learned.run_time(&spec.class, spec.estimate_s));
+                all += cpus * run;
                 if self.pressing(job, self.allowed_s(job), ahead) {
-                    pressing += work;
+                    pressing.push((cpus, run));
                 }
                 oldest = oldest.max(age);
             }
         }
         let time = oldest.max(USUAL_S / 3.0);
-        (all / time, pressing / time * PRESSING_HEADROOM)
+        (all / time, swing(&pressing, time))
     }
 
     fn suits(&self, demand: &Demand, kind: &str, zone: &str, spot: bool) -> bool {
@@ -695,3 +702,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A flat share of headroom was too little for large jobs with tight
+    /// deadlines, and too much for many small ones.
+    #[test]
+    fn few_large_jobs_swing_more_than_many_small_ones() {
+        let large = swing(&[(200.0, 60.0); 10], 100.0);
+        let small = swing(&[(20.0, 60.0); 100], 100.0);
+        assert!((large - 490.0).abs() < 1.0, "{large}");
+        assert!((small - 155.0).abs() < 1.0, "{small}");
+    }
+}
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -36,6 +36,9 @@
 /// Rounded score, price and free cores: less is better.
 type Rank = (f64, f64, f64);
 
+/// Not of a high priority, not within a guarantee, the priority: less first.
+type Precedence = (bool, bool, std::cmp::Reverse<Priority>);
+
 /// Kind, spot and zone: machines that share a history.
 type Family = (String, bool, String);
 
@@ -203,7 +206,7 @@
     /// be in time with all that goes before it yields.
     fn waiting_jobs(&self) -> Vec<JobRef> {
         let guaranteed = self.guaranteed_jobs();
-        let mut queue: Vec<Contender<(bool, bool, std::cmp::Reverse<Priority>), JobRef>> = vec![];
+        let mut queue: Vec<Contender<Precedence, JobRef>> = vec![];
         let mut ours: BTreeSet<&JobRef> = BTreeSet::new();
         for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id) else { continue };
