--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -173,7 +173,7 @@
             }
             if let Some(mine) = self.mine.get_mut(&part) {
                 mine.ready = true;
-                // What earlier owners left may be cut off behind them; see `proof_by_silence`.
+                // What earlier owners left may be cut off behind them: see `keeping`.
                 mine.since = self.now;
                 mine.unkept = self.now;
             }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -11,6 +11,7 @@
 use crate::bookkeeping::view::Job;
 use crate::protocol::users::{JobKind, Priority};
 use crate::protocol::workers::TaskState;
+use crate::settings::Objective;
 use crate::units::Attempt;
 
 /// Tasks of one job that a round looks at to find that they wait.
@@ -334,7 +335,7 @@
         let reserve = self.reserve(seats.iter().map(|s| s.type_.cpus).sum());
         // The reserve is kept where images come fastest, if the part has such.
         let fastest = seats.iter().map(|s| s.type_.fetch_gb_per_s).fold(0.0, f64::max);
-        let prime = |seat: &Seat| seat.type_.fetch_gb_per_s >= fastest * PRIME;
+        let prime = |seat: &Seat| holds_reserve(seat.type_.fetch_gb_per_s, fastest);
         let mut spare: f64 = seats.iter().filter(|s| prime(s)).map(|s| s.openings.free[0].max(0.0)).sum();
         let mut short: Vec<Short> = vec![];
         for id in order {
@@ -450,15 +451,11 @@
         );
     }
 
-    /// True if an aim says that tasks of the class must start sooner than a
-    /// machine rented for them would be up. An aim on longer waits is no
-    /// claim on the reserve: such a class would eat it.
+    /// True if tasks of the class must start sooner than a machine rented for
+    /// them would be up.
     pub(super) fn wants_quick_start(&self, class: &str) -> bool {
         let boot_s = self.catalog.values().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
-        let mut aims = self.settings.cluster.objectives.iter();
-        aims.any(|o| {
-            o.kind == "wait" && o.class.as_deref() == Some(class) && o.within_s.is_some_and(|within| within < boot_s)
-        })
+        starts_before(&self.settings.cluster.objectives, class, boot_s)
     }
 
     /// Cores that a part keeps free for work that must start at once: those
@@ -583,3 +580,35 @@
         (expected_completion(history, prospect), wait)
     }
 }
+
+/// True if an aim wants tasks of the class to start within less than `boot_s`.
+/// An aim on longer waits is no claim on the reserve: such a class would eat it.
+fn starts_before(aims: &[Objective], class: &str, boot_s: f64) -> bool {
+    let quick = |o: &Objective| o.within_s.is_some_and(|within| within < boot_s);
+    aims.iter().any(|o| o.kind == "wait" && o.class.as_deref() == Some(class) && quick(o))
+}
+
+/// True for machines that hold the reserve: those that fetch images fastest.
+/// A core kept free where the image takes seconds to come starts nothing at once.
+fn holds_reserve(fetch_gb_per_s: f64, fastest: f64) -> bool {
+    fetch_gb_per_s >= fastest * PRIME
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_reserve_is_for_short_waits_on_machines_that_fetch_fast() {
+        let aim = |kind: &str, within_s| Objective {
+            kind: kind.into(),
+            class: Some("lists".into()),
+            within_s: Some(within_s),
+            share: None,
+        };
+        assert!(starts_before(&[aim("wait", 180.0), aim("wait", 3.0)], "lists", 15.0));
+        assert!(!starts_before(&[aim("wait", 180.0), aim("finished", 3.0)], "lists", 15.0));
+        assert!(!starts_before(&[aim("wait", 3.0)], "rolls", 15.0));
+        assert!(holds_reserve(0.8, 0.8) && !holds_reserve(0.2, 0.8) && holds_reserve(0.0, 0.0));
+    }
+}
