--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -15,6 +15,9 @@
 /// Room kept for the ups of the usual load.
 const USUAL_HEADROOM: f64 = 1.1;
 
+/// Room kept for the ups of work that presses, in standard deviations of it.
+const SWING_HEADROOM: f64 = 0.5;
+
 /// Names of returned machines remembered in the record.
 const MOST_GONE: usize = 60;
 
@@ -297,7 +300,7 @@
         // What the work of late has kept busy on average is likely to be
         // wanted again: buying for it ahead saves late starts and churn.
         let (usual, swing) = self.usual_cpus(ahead);
-        let usual = usual * USUAL_HEADROOM + swing;
+        let usual = usual * USUAL_HEADROOM + swing * SWING_HEADROOM;
         // A load that spot machines cannot carry for good needs ordinary ones.
         let usual_urgent = usual;
         let now: f64 = groups.values().map(|g| g.cpus).sum();
