--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -83,6 +83,17 @@
         counts
     }
 
+    /// True if any task is, or is wanted, on a machine.
+    pub fn wants_any_on(&self) -> bool {
+        self.slices.iter().any(|s| s.want.as_ref().or(s.held.record.as_ref()).is_some_and(|r| r.any_on()))
+    }
+
+    /// False once all tasks are known to have completed, whatever slices that
+    /// are not cleared away yet say.
+    pub fn holds_machines(&self) -> bool {
+        self.record.end != Some(End::Done)
+    }
+
     pub fn part_of(&self, slice: usize) -> Option<PartId> {
         self.record.plan.as_ref()?.parts.get(slice).copied()
     }
--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -191,6 +191,7 @@
         for note in self.peers.values().filter_map(|p| p.note.as_ref()) {
             faulty.extend(note.faulty.iter().map(|n| MachineId::new(n)));
             for load in &note.parts {
+                up.extend(load.up.iter().map(|n| MachineId::new(n)));
                 leaving.extend(load.leaving.iter().map(|n| MachineId::new(n)));
             }
         }
@@ -204,7 +205,7 @@
     /// Machines that a task may be on.
     fn busy_machines(&self) -> BTreeSet<MachineId> {
         let mut busy = BTreeSet::new();
-        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)) {
+        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).filter(|j| j.holds_machines()) {
             for slice in &job.slices {
                 for record in slice.held.record.iter().chain(slice.want.iter()) {
                     for task in &record.tasks {
@@ -221,7 +222,7 @@
     /// Cores that tasks take of each machine.
     fn used_cpus(&self) -> BTreeMap<MachineId, f64> {
         let mut used: BTreeMap<MachineId, f64> = BTreeMap::new();
-        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)) {
+        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).filter(|j| j.holds_machines()) {
             for record in job.slices.iter().filter_map(|s| s.want.as_ref().or(s.held.record.as_ref())) {
                 for task in &record.tasks {
                     if let TaskRecord::On(_, machine) = task {
@@ -251,9 +252,13 @@
         let ahead = boot + 10.0;
         let mut groups: BTreeMap<Constraints, Demand> = BTreeMap::new();
         for id in &self.view.active {
-            let Some(job) = self.view.jobs.get(id) else { continue };
+            let Some(job) = self.view.jobs.get(id).filter(|j| j.holds_machines()) else { continue };
             let spec = &job.record.spec;
             let (done, on) = job.counts();
+            // Work that fails wherever it runs has no use for more machines.
+            if on == 0 && self.suspect(id) {
+                continue;
+            }
             let waiting = if job.record.end.is_some() { 0 } else { spec.tasks.saturating_sub(done + on) };
             let run = self.learned.run_time(&spec.class, spec.estimate_s).max(1.0);
             let left = self.allowed_s(job) - self.age_s(job);
--- /dev/null
+++ b/src/coordination/failures.rs
@@ -0,0 +1,167 @@
+//! Whose fault a failure is: the job's or the machine's.
+//!
+//! A job submitted with a mistake fails on every machine until its user cancels
+//! it; a faulty machine fails every task. Told apart by what else happens: a
+//! job of which any task was done is sound, and a machine that fails several
+//! sound jobs is faulty. A job that failed on several machines while none of
+//! its tasks was ever done is suspect: it is tried with one task at a time,
+//! less and less often, claims no guarantee and makes nobody rent.
+
+use super::*;
+
+/// Machines that a job must fail on, with nothing done, to be suspect.
+const SUSPECT_AFTER: usize = 3;
+
+/// Sound jobs that a machine must fail to be faulty.
+const FAULTY_AFTER: usize = 2;
+
+/// Pauses between tries of a suspect job: from the first, doubled, to the last.
+const FIRST_PAUSE_S: f64 = 5.0;
+const LAST_PAUSE_S: f64 = 60.0;
+
+/// How long a machine rests that failed several jobs nothing is known of.
+const REST: Span = Span(5000);
+
+/// How long failures that never came again are remembered.
+const FORGET_AFTER: Span = Span(600_000);
+
+#[derive(Debug)]
+struct Failing {
+    machines: BTreeSet<MachineId>,
+    pause_s: f64,
+    again_at: Time,
+    last: Time,
+}
+
+/// Jobs that failed lately, as seen by this node.
+#[derive(Debug, Default)]
+pub struct Failures {
+    jobs: BTreeMap<JobRef, Failing>,
+}
+
+impl Failures {
+    pub fn failed(&mut self, job: &JobRef, machine: &MachineId, now: Time) {
+        let entry = self.jobs.entry(job.clone()).or_insert_with(|| Failing {
+            machines: BTreeSet::new(),
+            pause_s: FIRST_PAUSE_S,
+            again_at: now,
+            last: now,
+        });
+        entry.last = now;
+        entry.machines.insert(machine.clone());
+        // Tasks that ran side by side and failed together count as one try.
+        if entry.machines.len() >= SUSPECT_AFTER && now >= entry.again_at {
+            entry.again_at = now + Span::secs(entry.pause_s);
+            entry.pause_s = (entry.pause_s * 2.0).min(LAST_PAUSE_S);
+        }
+    }
+
+    /// Failures on a machine that proved faulty say nothing about jobs.
+    pub fn acquit(&mut self, machine: &MachineId) {
+        for failing in self.jobs.values_mut() {
+            failing.machines.remove(machine);
+        }
+    }
+
+    fn several(&self, job: &JobRef) -> bool {
+        self.jobs.get(job).is_some_and(|f| f.machines.len() >= SUSPECT_AFTER)
+    }
+
+    fn paused(&self, job: &JobRef, now: Time) -> bool {
+        self.jobs.get(job).is_some_and(|f| now < f.again_at)
+    }
+
+    fn forget(&mut self, now: Time, over: impl Fn(&JobRef) -> bool) {
+        self.jobs.retain(|job, f| now.since(f.last) < FORGET_AFTER && !over(job));
+    }
+}
+
+impl Core {
+    /// True if a task of the job was ever done: then failures are not its fault.
+    fn sound(&self, job: &JobRef) -> bool {
+        self.view.jobs.get(job).is_some_and(|j| !j.holds_machines() || j.counts().0 > 0)
+    }
+
+    /// True if the job failed wherever it ran, as far as this node or another knows.
+    pub(super) fn suspect(&self, job: &JobRef) -> bool {
+        let told = |p: &PeerState| p.note.as_ref().is_some_and(|n| n.failing.iter().any(|f| f == job.as_str()));
+        (self.learned.failures.several(job) || self.peers.values().any(told)) && !self.sound(job)
+    }
+
+    /// A suspect job waits between tries, and for the end of the one it has.
+    pub(super) fn held_back(&self, id: &JobRef, job: &crate::bookkeeping::view::Job) -> bool {
+        self.suspect(id) && (self.learned.failures.paused(id, self.now) || job.wants_any_on())
+    }
+
+    /// Suspect jobs, to be told to the others: the leader rents for all.
+    pub(super) fn failing_jobs(&self) -> Vec<String> {
+        let jobs = self.learned.failures.jobs.keys();
+        jobs.filter(|j| self.learned.failures.several(j) && !self.sound(j)).map(|j| j.to_string()).collect()
+    }
+
+    /// Decides whether failures on a machine are its own fault.
+    pub(super) fn judge_machine(&mut self, part: PartId, name: &MachineId) {
+        let Some(machine) = self.mine.get(&part).and_then(|m| m.machines.get(name)).filter(|m| !m.faulty) else {
+            return;
+        };
+        let sound = machine.failed_jobs.iter().filter(|j| self.sound(j)).count();
+        let unknown = machine.failed_jobs.iter().filter(|j| !self.sound(j) && !self.suspect(j)).count();
+        let faulty = sound >= FAULTY_AFTER;
+        let rests = sound + unknown >= FAULTY_AFTER;
+        let until = self.now + REST;
+        if let Some(machine) = self.mine.get_mut(&part).and_then(|m| m.machines.get_mut(name)) {
+            machine.faulty = faulty;
+            if rests {
+                machine.rests_until = until;
+            }
+        }
+        if faulty {
+            tracing::info!("{name} fails sound jobs: it is faulty");
+            self.learned.failures.acquit(name);
+        }
+    }
+
+    /// What was done meanwhile elsewhere may show that a machine is faulty.
+    pub(super) fn judge_machines(&mut self) {
+        let doubtful: Vec<(PartId, MachineId)> = self
+            .mine
+            .iter()
+            .flat_map(|(part, mine)| mine.machines.iter().map(move |(name, m)| (*part, name, m)))
+            .filter(|(_, _, m)| !m.faulty && m.failed_jobs.len() >= FAULTY_AFTER)
+            .filter(|(_, _, m)| m.failed_jobs.iter().filter(|j| self.sound(j)).count() >= FAULTY_AFTER)
+            .map(|(part, name, _)| (part, name.clone()))
+            .collect();
+        for (part, name) in doubtful {
+            self.judge_machine(part, &name);
+        }
+        let view = &self.view;
+        let ended = |job: &JobRef| view.jobs.get(job).is_none_or(|j| j.record.end.is_some());
+        self.learned.failures.forget(self.now, ended);
+        for machine in self.mine.values_mut().flat_map(|m| m.machines.values_mut()) {
+            let cancelled = |job: &JobRef| view.final_state(job) == Some(crate::bookkeeping::records::End::Cancelled);
+            machine.failed_jobs.retain(|job| !cancelled(job));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn tries_of_a_job_that_always_fails_become_rare() {
+        let job = JobRef::new("wk-1");
+        let mut failures = Failures::default();
+        let (mut now, mut tries) = (Time(0), 0);
+        while now.0 < 600_000 {
+            if !failures.paused(&job, now) {
+                tries += 1;
+                failures.failed(&job, &MachineId::new(&format!("i-{}", tries % 7)), now);
+            }
+            now = now + Span(100);
+        }
+        assert!((10..20).contains(&tries), "{tries} tries");
+        failures.forget(now + FORGET_AFTER, |_| false);
+        assert!(!failures.several(&job));
+    }
+}
--- a/src/coordination/leading.rs
+++ b/src/coordination/leading.rs
@@ -73,7 +73,7 @@
 
     fn room(&self) -> Room {
         let mut used: BTreeMap<&MachineId, [f64; 3]> = BTreeMap::new();
-        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)) {
+        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).filter(|j| j.holds_machines()) {
             let spec = &job.record.spec;
             for slice in &job.slices {
                 // Our own parts' wishes are newer than what is durable.
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -140,6 +140,7 @@
                 // The answer shows the records as of when it was asked for, or later.
                 self.last_read = Some(self.last_read.map_or(sent, |at| at.max(sent)));
                 self.ready_parts();
+                self.answer_held();
             }
             StateAnswer::TooOld => self.loaded = false,
             _ => self.pause_state(),
@@ -319,6 +320,7 @@
             parts: self.mine.iter().map(|(part, mine)| self.part_load(*part, mine)).collect(),
             ages: vec![],
             faulty: vec![],
+            failing: vec![],
         }
     }
 
@@ -335,6 +337,7 @@
                     wanted_gpus: want.1,
                 })
                 .collect(),
+            up: vec![],
             leaving: mine.machines.iter().filter(|(_, m)| m.notice.is_some()).map(|(n, _)| n.to_string()).collect(),
         }
     }
@@ -356,12 +359,26 @@
             .filter(|(_, m)| m.faulty)
             .map(|(n, _)| n.to_string())
             .collect();
+        note.failing = self.failing_jobs();
+        let quiet = self.timing.worker_lease;
+        for load in &mut note.parts {
+            let machines = self.mine.get(&PartId(load.part)).into_iter().flat_map(|m| &m.machines);
+            let heard = machines.filter(|(_, m)| self.now.since(m.last_report) < quiet);
+            load.up = heard.map(|(name, _)| name.to_string()).collect();
+        }
+        self.told = note.clone();
         self.out.push(Output::Tell(note));
     }
 
     /// Tells the others at once that there is something new to read.
     pub(super) fn nudge(&mut self, revision: Revision) {
-        let note = Note { revision: revision.0, ..self.own_note() };
+        // All of it: this note may overtake the last one, which is then never sent.
+        let note = Note {
+            revision: revision.0,
+            from: self.me.to_string(),
+            state_reachable: self.state_fresh(),
+            ..self.told.clone()
+        };
         self.out.push(Output::Tell(note));
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,12 +2,14 @@
 //! the time go in; what to send, write and answer comes out.
 
 mod buying;
+mod failures;
 mod keeping;
 mod leading;
 mod membership;
 mod openings;
 mod part;
 mod preempting;
+mod queries;
 mod queue;
 mod rounds;
 pub mod scoring;
@@ -25,6 +27,7 @@
 use crate::settings::{Settings, Tuning};
 use crate::units::{CallId, JobRef, LeaseId, MachineId, NodeName, PartId, RequestId, Revision, Span, Time, Token};
 use part::Mine;
+use queries::{Queries, Question};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How often controllers tell one another how they are.
@@ -174,10 +177,8 @@
         request: RequestId,
         fresh: bool,
     },
-    Query {
-        request: RequestId,
-        job: JobRef,
-    },
+    /// How far the records have come; these questions wait for it.
+    Probe(Vec<Question>),
     CancelRead {
         request: RequestId,
         job: JobRef,
@@ -259,6 +260,9 @@
     catalog_at: Option<Time>,
     cloud: buying::Fleet,
     learned: rounds::Learned,
+    queries: Queries,
+    /// The last whole note to the other controllers.
+    told: Note,
 }
 
 impl Core {
@@ -306,6 +310,8 @@
             catalog_at: None,
             cloud: buying::Fleet::default(),
             learned: rounds::Learned::default(),
+            queries: Queries::default(),
+            told: Note::default(),
         }
     }
 
@@ -322,6 +328,7 @@
             Input::Cloud(call, answer) => self.cloud_answer(call, answer),
             Input::Note(note) => self.note(note),
         }
+        self.tend_queries();
         self.flush_all();
         std::mem::take(&mut self.out)
     }
@@ -354,6 +361,7 @@
 
     fn housekeeping(&mut self) {
         self.refresh_catalog();
+        self.judge_machines();
         self.tend_notes();
         self.expire_machines();
         self.lead();
@@ -443,7 +451,7 @@
             Pending::Reread { key, part } => self.reread_answer(key, part, answer),
             Pending::SubmitWrite { request, txn, spec } => self.submit_written(request, txn, spec, answer),
             Pending::SubmitRead { request, fresh } => self.submit_read(request, fresh, answer),
-            Pending::Query { request, job } => self.query_answer(request, job, answer),
+            Pending::Probe(questions) => self.probed(questions, answer),
             Pending::CancelRead { request, job, tries } => self.cancel_read(request, job, tries, answer),
             Pending::CancelWrite { request, job, txn, tries } => self.cancel_written(request, job, txn, tries, answer),
             Pending::RentName { rent, txn } => self.rent_named(rent, txn, answer),
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -1,6 +1,7 @@
 //! Placement rounds: each waiting task goes where its expected completion is
 //! least, which may mean waiting for a busy machine.
 
+use super::failures::Failures;
 use super::openings::Openings;
 use super::part::{Machine, Mine, TaskKey};
 use super::queue::{serve_order, Contender};
@@ -43,8 +44,7 @@
 /// Kind, spot and zone: machines that share a history.
 type Family = (String, bool, String);
 
-/// What experience teaches: lifetimes, run times against estimates, and jobs
-/// that fail wherever they run.
+/// What experience teaches: lifetimes, run times against estimates, and what fails.
 #[derive(Debug, Default)]
 pub struct Learned {
     histories: BTreeMap<Family, History>,
@@ -52,8 +52,7 @@
     ratios: BTreeMap<String, (f64, f64)>,
     /// Per class that must start at once: mean cores of a job, and weight.
     job_cpus: BTreeMap<String, (f64, f64)>,
-    /// Per job: machines it failed on lately, and when it may be tried again.
-    failing: BTreeMap<JobRef, (BTreeSet<MachineId>, Time)>,
+    pub(super) failures: Failures,
 }
 
 impl Learned {
@@ -63,20 +62,6 @@
         self.histories.entry(family).or_default().add(Life { age_s, lost });
     }
 
-    /// A job that failed on several machines is held back, longer each time.
-    pub fn job_failed(&mut self, job: &JobRef, machine: &MachineId, now: Time) {
-        let entry = self.failing.entry(job.clone()).or_insert_with(|| (BTreeSet::new(), now));
-        entry.0.insert(machine.clone());
-        let machines = entry.0.len() as u32;
-        if machines >= 3 {
-            entry.1 = now + Span::secs(f64::from(2u32.pow(machines.min(6))));
-        }
-    }
-
-    fn held_back(&self, job: &JobRef, now: Time) -> bool {
-        self.failing.get(job).is_some_and(|f| now < f.1)
-    }
-
     pub fn learn_ratio(&mut self, class: &str, ratio: f64) {
         let entry = self.ratios.entry(class.to_string()).or_insert((0.0, 3.0));
         entry.0 = (entry.0 * entry.1 + ratio.clamp(0.1, 10.0).ln()) / (entry.1 + 1.0);
@@ -211,7 +196,7 @@
         let mut ours: BTreeSet<&JobRef> = BTreeSet::new();
         for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id) else { continue };
-            if job.record.end.is_some() || self.learned.held_back(id, self.now) {
+            if job.record.end.is_some() || self.held_back(id, job) {
                 continue;
             }
             let idle = |w: &SliceRecord| w.tasks.iter().any(|t| matches!(t, TaskRecord::Idle(_)));
@@ -272,7 +257,7 @@
             .active
             .iter()
             .filter_map(|id| Some((id, self.view.jobs.get(id)?)))
-            .filter(|(_, j)| j.record.end.is_none())
+            .filter(|(id, j)| j.record.end.is_none() && !self.suspect(id))
             .collect();
         jobs.sort_by_key(|(id, j)| (j.record.at, (*id).clone()));
         let mut left: BTreeMap<&str, [f64; 2]> =
@@ -299,6 +284,7 @@
             let Some(type_) = self.catalog.get(&machine.kind) else { continue };
             let usable = !machine.faulty
                 && machine.notice.is_none()
+                && self.now >= machine.rests_until
                 && self.now.since(machine.last_report) < quiet
                 && !self.draining(name);
             if !usable {
@@ -346,7 +332,7 @@
             let need = needs(&job.record);
             let limits = self.allowance(part, &job.record.spec.team);
             let gang = job.record.spec.kind == JobKind::Gang;
-            if gang && self.any_on(job) {
+            if gang && job.wants_any_on() {
                 // What is left of an earlier try must be gone first.
                 continue;
             }
@@ -356,6 +342,7 @@
             let mut full = false;
             let mut waits = 0;
             let quick = self.wants_quick_start(&job.record.spec.class);
+            let suspect = self.suspect(id);
             let mut lacking = Short { job: id.clone(), tasks: 0, wait_s: f64::INFINITY };
             for index in 0..job.slices.len() {
                 if job.part_of(index) != Some(part) {
@@ -373,7 +360,8 @@
                     let over = over(limits.0, team.0, need[0]) || over(limits.1, team.1, need[1]);
                     // What is left there is for work that must start at once.
                     let kept = !quick && reserve > 0.0 && spare - need[0] < reserve;
-                    let open = |seat: &Seat| !(kept && prime(seat));
+                    let failed = |seat: &Seat| !suspect && seat.machine.failed_jobs.contains(id);
+                    let open = |seat: &Seat| !(kept && prime(seat) || failed(seat));
                     match self.best_seat(&seats, job, &need, &spread, &mut scores, open) {
                         None => {
                             lacking.tasks += 1;
@@ -409,13 +397,15 @@
                                 *spread.by_zone.entry(seats[seat].machine.zone.clone()).or_default() += 1;
                                 scores.fill(None);
                             }
+                            // One task at a time shows whether it still fails.
+                            full |= suspect && !gang;
                             let key = (id.clone(), first + at as u32);
                             places.push((key, Attempt(attempt.0 + 1), seats[seat].name.clone()));
                         }
                     }
                 }
             }
-            if lacking.tasks > 0 {
+            if lacking.tasks > 0 && !suspect {
                 short.push(lacking);
             }
             if let (true, (count, Some((seats_before, used_before)))) = (full, before) {
@@ -465,10 +455,6 @@
         classes.min(cpus * MOST_RESERVED)
     }
 
-    fn any_on(&self, job: &Job) -> bool {
-        job.slices.iter().any(|s| s.want.as_ref().or(s.held.record.as_ref()).is_some_and(|r| r.any_on()))
-    }
-
     pub(super) fn spread(&self, part: PartId, id: &JobRef, job: &Job) -> Spread {
         let mut spread = Spread::default();
         if !job.record.spec.one_zone && !job.record.spec.apart {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -7,6 +7,12 @@
 /// Tries of a cancellation that meets other changes of its job.
 const CANCEL_TRIES: u32 = 4;
 
+/// Slices that a large job has for each part: enough to deal them by room.
+const SLICES_A_PART: u32 = 16;
+
+/// What a running task takes of its slice's record at the most, about.
+const TASK_BYTES: u32 = 32;
+
 impl Core {
     pub(super) fn user(&mut self, request: RequestId, ask: Ask) {
         match ask {
@@ -63,11 +69,7 @@
             return self.answer_job(request, 200, &id, None);
         }
         if self.view.jobs.contains_key(&spec.id) {
-            if self.afford(request, 1.0) {
-                let call = StateCall::Get { key: job_key(&spec.id) };
-                self.call_state(call, Pending::SubmitRead { request, fresh: false });
-            }
-            return;
+            return self.ask_view(request, spec.id);
         }
         if !self.loaded || self.catalog.is_empty() {
             return self.reply(request, Reply::later("starting"));
@@ -75,9 +77,11 @@
         if let Some(reason) = self.impossible(&spec) {
             return self.reply(request, Reply::problem(422, &reason));
         }
-        if !self.afford(request, 1.0) {
-            return;
+        // Acceptance goes first: on credit, as far as the share bears it.
+        if self.now < self.retry_state_at || self.reads.level(self.now) < -0.5 * self.reads.per_s() {
+            return self.reply(request, Reply::later("busy"));
         }
+        self.reads.force(self.now, 1.0);
         self.writes.force(self.now, 1.0);
         let record = JobRecord { plan: self.first_plan(&spec), spec: (*spec).clone(), at: self.wall_ms, end: None };
         let Ok(value) = serde_json::to_value(&record) else {
@@ -100,11 +104,14 @@
         (slices == 1 || spec.whole()).then(|| Plan { size, parts: vec![home; slices] })
     }
 
-    /// Tasks per slice; more for huge jobs, so that their plan stays one value.
+    /// Tasks per slice; more for large jobs, whose tasks then share writes,
+    /// as far as a slice with all of them running stays one value, and for
+    /// huge ones, so that their plan does.
     pub(super) fn slice_size(&self, tasks: u32) -> u32 {
-        let digits = self.parts.to_string().len() + 1;
-        let most = (self.settings.cluster.state.value_kb * 1024.0 * 0.6) as usize / digits;
-        self.tuning.slice_tasks.max(tasks.div_ceil(most.max(1) as u32))
+        let value = (self.settings.cluster.state.value_kb * 1024.0 * 0.6) as u32;
+        let digits = self.parts.to_string().len() as u32 + 1;
+        let shared = tasks.div_ceil(self.parts.max(1) * SLICES_A_PART).min(value / TASK_BYTES);
+        self.tuning.slice_tasks.max(shared).max(tasks.div_ceil((value / digits).max(1)))
     }
 
     /// Why a job can never run, if so.
@@ -172,18 +179,15 @@
         if self.known_final(&job).is_some() {
             return self.answer_job(request, 200, &job, None);
         }
-        if self.afford(request, 1.0) {
-            self.call_state(StateCall::Get { key: job_key(&job) }, Pending::Query { request, job });
-        }
+        self.ask_view(request, job);
     }
 
-    pub(super) fn query_answer(&mut self, request: RequestId, job: JobRef, answer: StateAnswer) {
-        if matches!(answer, StateAnswer::Missing(_)) && !self.view.jobs.contains_key(&job) {
-            return self.reply(request, Reply::problem(404, "no such job"));
-        }
-        match self.take_job(answer) {
-            Some((id, record)) => self.answer_job(request, 200, &id, Some(&record)),
-            None => self.reply(request, Reply::later("the state service does not answer")),
+    /// Answers from the view once it is provably as new as the question.
+    pub(super) fn answer_from_view(&mut self, request: RequestId, job: &JobRef) {
+        if self.view.jobs.contains_key(job) {
+            self.answer_job(request, 200, job, None);
+        } else {
+            self.reply(request, Reply::problem(404, "no such job"));
         }
     }
 
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -49,6 +49,7 @@
             images: vec![],
             failed_jobs: BTreeSet::new(),
             faulty: false,
+            rests_until: Time(0),
         });
         // The answer we are about to give renews the worker's lease.
         machine.last_report = now;
@@ -99,7 +100,8 @@
             let attempt = task.attempt;
             if task.state == TaskState::Exited {
                 // The exit is durable, or the attempt was never the task's.
-                if !durable && !wanted {
+                let done = self.view.jobs.get(&key.0).is_some_and(|j| !j.holds_machines());
+                if (!durable || done) && !wanted {
                     commands.push(Command::Forget { task: name, attempt });
                 }
                 continue;
@@ -194,10 +196,9 @@
             Why::Done => m.failed_jobs.clear(),
             Why::Error => {
                 m.failed_jobs.insert(key.0.clone());
-                // Failing the tasks of several jobs, it is the machine's fault.
-                m.faulty |= m.failed_jobs.len() >= 2;
                 tracing::info!("task {}/{} failed on {machine}", key.0, key.1);
-                self.learned.job_failed(&key.0, machine, self.now);
+                self.learned.failures.failed(&key.0, machine, self.now);
+                self.judge_machine(part, machine);
             }
             _ => {}
         }
