--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -1,7 +1,7 @@
 //! The leader's dealings with the cloud: what to rent, and what to give back.
 
 use super::*;
-use crate::bookkeeping::records::{FleetRecord, TaskRecord, FLEET_KEY, LEADER_KEY};
+use crate::bookkeeping::records::{End, FleetRecord, TaskRecord, FLEET_KEY, LEADER_KEY};
 use crate::bookkeeping::view::Job;
 use crate::protocol::cloud::{Listed, ListedState, RENT_LIMIT, RETURN_LIMIT};
 use crate::protocol::users::JobKind;
@@ -85,6 +85,17 @@
     (jobs.iter().map(|(cpus, run)| cpus * cpus * run).sum::<f64>() / time.max(1.0)).sqrt()
 }
 
+impl Fleet {
+    /// A standstill of this node is no idleness or absence of machines.
+    pub(super) fn stood_still(&mut self, gap: Span) {
+        for machine in self.machines.values_mut() {
+            for time in [&mut machine.last_listed, &mut machine.idle_since].into_iter().flatten() {
+                *time = *time + gap;
+            }
+        }
+    }
+}
+
 impl Core {
     pub(super) fn draining(&self, name: &MachineId) -> bool {
         let record = self.view.fleet.record.as_ref();
@@ -143,6 +154,7 @@
             .active
             .iter()
             .filter_map(|id| self.view.jobs.get(id))
+            .filter(|j| j.holds_machines())
             .map(|j| f64::from(j.counts().1) * j.record.spec.cpus)
             .sum();
         let wanted: f64 = demand.iter().map(|d| d.cpus).sum();
@@ -310,6 +322,7 @@
         let usual_urgent = usual;
         let now: f64 = groups.values().map(|g| g.cpus).sum();
         let now_urgent: f64 = groups.values().map(|g| g.urgent).sum();
+        tracing::debug!("demand: {now:.0} cores now, {now_urgent:.0} pressing, usual {usual:.0} with swing {swing:.0}");
         if let Some(group) = groups.values_mut().max_by(|a, b| a.cpus.total_cmp(&b.cpus)) {
             group.cpus += (usual - now).max(0.0);
             group.urgent += (usual_urgent - now_urgent).max(0.0);
@@ -339,8 +352,12 @@
         let mut all = 0.0;
         let mut pressing = vec![];
         let mut oldest: f64 = 0.0;
-        for job in self.view.jobs.values() {
+        for (id, job) in &self.view.jobs {
             let (spec, age) = (&job.record.spec, self.age_s(job));
+            // What failed wherever it ran, or was cancelled, keeps nothing busy.
+            if job.record.end == Some(End::Cancelled) || self.suspect(id) {
+                continue;
+            }
             if age < USUAL_S && spec.kind == JobKind::Array {
                 let (cpus, run) =
                     (spec.cpus * f64::from(spec.tasks), self.learned.run_time(&spec.class, spec.estimate_s));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -33,6 +33,9 @@
 /// How often controllers tell one another how they are.
 const NOTE_EVERY: Span = Span(1000);
 
+/// A pause between inputs that cannot be chance: ticks come far more often.
+const STANDSTILL: Span = Span(1000);
+
 /// What a user asks.
 #[derive(Debug, Clone)]
 pub enum Ask {
@@ -225,6 +228,8 @@
     now: Time,
     /// When this life of the node began.
     began: Time,
+    /// When it last went on after standing still.
+    resumed: Time,
     wall_ms: u64,
     out: Vec<Output>,
     last_call: u64,
@@ -281,6 +286,7 @@
             tuning,
             now: Time(0),
             began: Time(0),
+            resumed: Time(0),
             wall_ms: 0,
             out: vec![],
             last_call: 0,
@@ -318,8 +324,12 @@
     /// Takes one input at a time of this node's steady clock, with the time
     /// of day for estimates of age, and returns what is to be done.
     pub fn handle(&mut self, now: Time, wall_ms: u64, input: Input) -> Vec<Output> {
+        let gap = now.since(self.now);
         self.now = self.now.max(now);
         self.wall_ms = wall_ms;
+        if gap >= STANDSTILL {
+            self.stood_still(gap);
+        }
         match input {
             Input::Tick => self.tick(),
             Input::User(request, ask) => self.user(request, ask),
@@ -333,6 +343,19 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Nothing came for much longer than the pause between ticks: this node
+    /// stood still while its clocks ran on. What it did not hear meanwhile is
+    /// no proof of anybody's silence, and what ran meanwhile took it no longer.
+    /// Leases are another matter: they ran out whether or not it stood.
+    fn stood_still(&mut self, gap: Span) {
+        tracing::info!("stood still for {:.1} s", gap.as_secs());
+        self.resumed = self.now;
+        for peer in self.peers.values_mut() {
+            peer.heard = peer.heard.map(|at| at + gap);
+        }
+        self.cloud.stood_still(gap);
+    }
+
     /// How long the caller may wait before the next tick.
     pub fn next_tick(&self) -> Span {
         Span(50)
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -107,8 +107,11 @@
     pub(super) fn learn_run_time(&mut self, part: PartId, key: &TaskKey) {
         let Some(mine) = self.mine.get(&part) else { return };
         let Some(started) = mine.running_since.get(key) else { return };
-        // A task that ran before we owned the part began at a time unknown.
-        if started.since(mine.since) < Span(3000) {
+        // A task that ran before we owned the part began at a time unknown, and
+        // one that ran while we stood still ended at a time unknown. Learned
+        // from, a standstill of 20 s once made all later work seem half as long
+        // again, and machines were rented for it.
+        if started.since(mine.since) < Span(3000) || *started < self.resumed {
             return;
         }
         let ran = self.now.since(*started).as_secs();
--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -14,6 +14,12 @@
 /// Events waiting for the core; a connection that finds this full is refused.
 const QUEUE: usize = 1024;
 
+/// Ticks come far more often; a longer turn means that the process stood still.
+const STOOD_STILL: Duration = Duration::from_millis(500);
+
+/// How long it then listens before its next tick.
+const HEAR_FIRST: Duration = Duration::from_millis(60);
+
 /// A request that wants an answer.
 pub enum Asked {
     User(Ask),
@@ -48,6 +54,9 @@
     let mut last_request = 0;
     let mut next_tick = begin;
     let mut again: VecDeque<Input> = VecDeque::new();
+    let mut last_turn = begin;
+    // After a standstill: no tick before what arrived meanwhile is taken in.
+    let mut hear_until: Option<Instant> = None;
     loop {
         let input = if let Some(input) = again.pop_front() {
             input
@@ -63,7 +72,16 @@
                         Asked::Report(report) => Input::Report(id, *report),
                     }
                 }
+                Err(RecvTimeoutError::Timeout) if last_turn.elapsed() >= STOOD_STILL && hear_until.is_none() => {
+                    // The connections' threads wake as late as this one: they
+                    // get a moment to hand in what lay in their sockets, so that
+                    // it is heard before anything is held to be overdue.
+                    hear_until = Some(Instant::now() + HEAR_FIRST);
+                    next_tick = Instant::now() + HEAR_FIRST;
+                    continue;
+                }
                 Err(RecvTimeoutError::Timeout) => {
+                    hear_until = None;
                     next_tick = Instant::now() + Duration::from_millis(core.next_tick().0);
                     Input::Tick
                 }
@@ -87,7 +105,14 @@
             }
         }
         // A steady stream of events must not keep the clock from ticking.
-        if Instant::now() > next_tick + Duration::from_millis(100) {
+        let turn = Instant::now();
+        if turn.duration_since(last_turn) >= STOOD_STILL && hear_until.is_none() {
+            hear_until = Some(turn + HEAR_FIRST);
+            next_tick = turn + HEAR_FIRST;
+        }
+        last_turn = turn;
+        if turn > next_tick + Duration::from_millis(100) {
+            hear_until = None;
             next_tick = Instant::now();
             again.push_back(Input::Tick);
         }
