Boot times learned per type and zone; a boot is given up when others overtook it

Cause: a fixed multiple of the catalog's time gave back and asked again while every boot was slow, and counted machines that never come in full.

--- a/src/bookkeeping/lifetimes.rs
+++ b/src/bookkeeping/lifetimes.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// The age that half do not outlast; the longest seen if more do.
+    pub fn median(&self) -> f64 {
+        self.steps.iter().find(|step| step.1 <= 0.5 + 1e-9).map_or(self.longest, |step| step.0)
+    }
+
     /// P(X > age).
     fn survival(&self, age: f64) -> f64 {
         let after = self.steps.partition_point(|&(at, _)| at <= age);
--- /dev/null
+++ b/src/coordination/boots.rs
@@ -0,0 +1,128 @@
+//! How long machines take to come up, as observed.
+//!
+//! The catalog names a usual time, but whole hours can be slower, and some
+//! machines never come up. Boots are kept per type and zone as lifetimes are:
+//! those not over yet, or given up, only show that they took so long.
+
+use crate::bookkeeping::lifetimes::{History, Life};
+use std::collections::BTreeMap;
+
+/// Boots remembered per type and zone: what is usual changes by the hour.
+const WINDOW: usize = 24;
+
+/// A boot this many times as long as usual counts as late.
+const LATE: f64 = 2.0;
+
+/// One that others of its kind overtook is given up after so many times the
+/// usual; one that nothing overtook only after many more: while every boot is
+/// slow, asking again would only pay for the same wait twice.
+const OVERTAKEN: f64 = 3.0;
+const HOPELESS: f64 = 10.0;
+
+/// Grace on top, for lists and notes that lag.
+const GRACE_S: f64 = 10.0;
+
+/// What a late boot is counted for: it may come, or never.
+const LATE_SHARE: f64 = 0.5;
+
+type Slot = (String, String);
+
+#[derive(Debug, Default)]
+pub struct Boots {
+    over: BTreeMap<Slot, Vec<Life>>,
+    usual: BTreeMap<Slot, f64>,
+}
+
+impl Boots {
+    fn add(&mut self, kind: &str, zone: &str, life: Life) {
+        let boots = self.over.entry((kind.into(), zone.into())).or_default();
+        boots.push(life);
+        if boots.len() > WINDOW {
+            boots.remove(0);
+        }
+    }
+
+    pub fn came_up(&mut self, kind: &str, zone: &str, after_s: f64) {
+        self.add(kind, zone, Life { age_s: after_s, lost: true });
+    }
+
+    pub fn given_up(&mut self, kind: &str, zone: &str, after_s: f64) {
+        self.add(kind, zone, Life { age_s: after_s, lost: false });
+    }
+
+    /// Learns what is usual now from boots that are over and, censored, the
+    /// ages of those under way.
+    pub fn learn(&mut self, under_way: &BTreeMap<Slot, Vec<f64>>) {
+        for (slot, boots) in &self.over {
+            let mut history = History::default();
+            boots.iter().for_each(|life| history.add(*life));
+            history.rebuild(under_way.get(slot).map_or(&[][..], |ages| ages));
+            self.usual.insert(slot.clone(), history.median());
+        }
+    }
+
+    /// The usual time, as observed or else as the catalog says.
+    pub fn usual_s(&self, kind: &str, zone: &str, catalog_s: f64) -> f64 {
+        let key = (kind.to_string(), zone.to_string());
+        self.usual.get(&key).copied().unwrap_or(catalog_s).max(1.0)
+    }
+
+    /// What of a machine that has been booting for so long may be counted on.
+    pub fn coming(&self, kind: &str, zone: &str, catalog_s: f64, age_s: f64) -> f64 {
+        if age_s > LATE * self.patience_s(kind, zone, catalog_s) + GRACE_S {
+            LATE_SHARE
+        } else {
+            1.0
+        }
+    }
+
+    /// True if a boot should be given up; `overtaken` if a machine of its kind
+    /// that was asked for later is up already.
+    pub fn hopeless(&self, kind: &str, zone: &str, catalog_s: f64, age_s: f64, overtaken: bool) -> bool {
+        let times = if overtaken { OVERTAKEN } else { HOPELESS };
+        age_s > times * self.patience_s(kind, zone, catalog_s) + GRACE_S
+    }
+
+    /// Never less than the catalog says: a spell of quick boots is no reason
+    /// to give up one that takes its usual time.
+    fn patience_s(&self, kind: &str, zone: &str, catalog_s: f64) -> f64 {
+        self.usual_s(kind, zone, catalog_s).max(catalog_s)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn under_way(ages: &[f64]) -> BTreeMap<Slot, Vec<f64>> {
+        BTreeMap::from([(("big".to_string(), "a".to_string()), ages.to_vec())])
+    }
+
+    /// At a fixed multiple of the catalog's time, every machine was given back
+    /// and asked for again for as long as all boots were slow.
+    #[test]
+    fn slow_boots_are_waited_for_and_stuck_ones_given_up() {
+        let mut boots = Boots::default();
+        assert!(!boots.hopeless("big", "a", 20.0, 80.0, false));
+        assert!(boots.hopeless("big", "a", 20.0, 80.0, true), "others overtook it");
+        assert!(boots.hopeless("big", "a", 20.0, 250.0, false), "it never comes");
+        for after in [70.0, 80.0, 90.0] {
+            boots.came_up("big", "a", after);
+        }
+        boots.learn(&under_way(&[60.0, 61.0]));
+        assert_eq!(boots.usual_s("big", "a", 20.0), 80.0);
+        assert!(!boots.hopeless("big", "a", 20.0, 200.0, true));
+        assert_eq!(boots.usual_s("big", "b", 20.0), 20.0);
+    }
+
+    /// Boots under way count as lasting at least so long, and late ones by half.
+    #[test]
+    fn unfinished_boots_are_censored() {
+        let mut boots = Boots::default();
+        boots.came_up("big", "a", 10.0);
+        boots.learn(&under_way(&[120.0; 5]));
+        assert_eq!(boots.usual_s("big", "a", 20.0), 120.0);
+        assert_eq!(Boots::default().coming("big", "a", 20.0, 30.0), 1.0);
+        assert_eq!(Boots::default().coming("big", "a", 20.0, 55.0), LATE_SHARE);
+    }
+}
--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -1,5 +1,6 @@
 //! The leader's dealings with the cloud: what to rent, and what to give back.
 
+use super::boots::Boots;
 use super::*;
 use crate::bookkeeping::records::{End, FleetRecord, TaskRecord, FLEET_KEY, LEADER_KEY};
 use crate::bookkeeping::view::Job;
@@ -18,6 +19,9 @@
 /// Room kept for the ups of work that presses, in standard deviations of it.
 const SWING_HEADROOM: f64 = 0.5;
 
+/// For how long a machine is paid for, usually.
+const PAID_FOR_S: f64 = 300.0;
+
 /// Names of returned machines remembered in the record.
 const MOST_GONE: usize = 60;
 
@@ -39,6 +43,8 @@
     pub failed: bool,
     /// The cloud has announced that it takes it.
     pub leaving: bool,
+    /// Rented by this node, which has watched it boot since.
+    rented_here: bool,
     last_listed: Option<Time>,
     idle_since: Option<Time>,
     drain_since: Option<Time>,
@@ -56,6 +62,7 @@
     returning: bool,
     /// No capacity of a kind, zone and sort until then.
     refused: BTreeMap<(String, String, bool), (Time, u32)>,
+    pub(super) boots: Boots,
     /// Returned for certain, but perhaps not in the record yet.
     gone: BTreeSet<MachineId>,
 }
@@ -132,6 +139,7 @@
         if !self.cloud.known || self.catalog.is_empty() {
             return;
         }
+        self.learn_boots();
         let busy = self.busy_machines();
         self.note_idle(&busy);
         let demand = self.demand();
@@ -143,6 +151,33 @@
         self.return_drained(&busy);
     }
 
+    fn learn_boots(&mut self) {
+        let mut under_way: BTreeMap<(String, String), Vec<f64>> = BTreeMap::new();
+        for m in self.cloud.machines.values().filter(|m| !m.up && !m.failed && m.rented_here) {
+            let ages = under_way.entry((m.kind.clone(), m.zone.clone())).or_default();
+            ages.push(self.now.since(m.born).as_secs());
+        }
+        self.cloud.boots.learn(&under_way);
+    }
+
+    /// Cores that a machine may be counted on for: a late boot may never end.
+    fn counted_cpus(&self, m: &Owned) -> Option<f64> {
+        let t = self.catalog.get(&m.kind)?;
+        let age_s = self.now.since(m.born).as_secs();
+        let share = if m.up { 1.0 } else { self.cloud.boots.coming(&m.kind, &m.zone, t.boot_s, age_s) };
+        Some(t.cpus * share)
+    }
+
+    /// True if a machine should have been up long ago.
+    fn stuck(&self, m: &Owned) -> bool {
+        let Some(t) = self.catalog.get(&m.kind).filter(|_| !m.up) else { return false };
+        let overtaken = self.cloud.machines.values().any(|other| {
+            other.up && other.rented_here && other.born > m.born && other.kind == m.kind && other.zone == m.zone
+        });
+        let age_s = self.now.since(m.born).as_secs();
+        self.cloud.boots.hopeless(&m.kind, &m.zone, t.boot_s, age_s, overtaken)
+    }
+
     fn log_fleet(&mut self, demand: &[Demand]) {
         let cores = |up: bool, spot: bool| -> f64 {
             let machines =
@@ -192,6 +227,7 @@
                         up: true,
                         failed: false,
                         leaving: false,
+                        rented_here: false,
                         last_listed: None,
                         idle_since: None,
                         drain_since: None,
@@ -208,6 +244,9 @@
             }
         }
         for (name, owned) in &mut self.cloud.machines {
+            if !owned.up && owned.rented_here && up.contains(name) {
+                self.cloud.boots.came_up(&owned.kind, &owned.zone, self.now.since(owned.born).as_secs());
+            }
             owned.up |= up.contains(name);
             owned.leaving |= leaving.contains(name);
             owned.failed |= faulty.contains(name);
@@ -260,7 +299,10 @@
     /// task the share of that time it needs a core, waiting work spread over
     /// the time it has left. What ends sooner frees room by itself.
     fn demand(&self) -> Vec<Demand> {
-        let boot = self.catalog.values().map(|t| t.boot_s).fold(0.0, f64::max);
+        let boots = &self.cloud.boots;
+        let usual_s = |t: &MachineType| t.zones.iter().map(|z| boots.usual_s(&t.name, z, t.boot_s)).fold(0.0, f64::max);
+        // Quick spells are not relied on, and slow ones not planned for without bound.
+        let boot = self.catalog.values().map(|t| usual_s(t).clamp(t.boot_s, 4.0 * t.boot_s)).fold(0.0, f64::max);
         let ahead = boot + 10.0;
         let mut groups: BTreeMap<Constraints, Demand> = BTreeMap::new();
         for id in &self.view.active {
@@ -389,7 +431,7 @@
             .machines
             .iter()
             .filter(|(name, m)| !m.failed && !m.leaving && !self.draining(name))
-            .filter_map(|(name, m)| Some((name.clone(), self.catalog.get(&m.kind)?.cpus)))
+            .filter_map(|(name, m)| Some((name.clone(), self.counted_cpus(m)?)))
             .collect();
         let mut lacks = vec![];
         for group in demand {
@@ -446,7 +488,9 @@
                         let count = (lack / useful).ceil().clamp(1.0, f64::from(RENT_LIMIT));
                         // Time lost to fetching images, some of which are shared.
                         let fetch = if t.fetch_gb_per_s > 0.0 { group.fetch_gb / t.fetch_gb_per_s } else { 0.0 };
-                        let slow = 1.0 + 0.5 * fetch / group.run_s.max(1e-6);
+                        // Time paid for that it boots.
+                        let boot = self.cloud.boots.usual_s(&t.name, zone, t.boot_s) / PAID_FOR_S;
+                        let slow = 1.0 + 0.5 * fetch / group.run_s.max(1e-6) + boot;
                         let cost = count * price * slow / (count * useful).min(lack);
                         // At about the same price, the zone with less of ours:
                         // a lost zone should not take everything.
@@ -546,7 +590,7 @@
                     self.cloud.refused.remove(&slot);
                 }
                 for name in names.machines {
-                    let owned = self.owned(&kind, &zone, spot, self.now);
+                    let owned = Owned { rented_here: true, ..self.owned(&kind, &zone, spot, self.now) };
                     self.cloud.machines.entry(name).or_insert(owned);
                 }
             }
@@ -576,6 +620,7 @@
             up: false,
             failed: false,
             leaving: false,
+            rented_here: false,
             last_listed: None,
             idle_since: None,
             drain_since: None,
@@ -641,7 +686,7 @@
                 continue;
             }
             let Some(t) = self.catalog.get(&owned.kind) else { continue };
-            let stuck = !owned.up && self.now.since(owned.born) > Span::secs(t.boot_s * 3.0 + 10.0);
+            let stuck = self.stuck(owned);
             // Ordinary machines cost several times as much to keep.
             let idle_for = if owned.spot { idle_for } else { Span(idle_for.0 / 4) };
             let idle = owned.idle_since.is_some_and(|at| self.now.since(at) >= idle_for);
@@ -664,6 +709,10 @@
         }
         for name in drain {
             if let Some(owned) = self.cloud.machines.get_mut(&name) {
+                if !owned.up && owned.rented_here {
+                    let after_s = self.now.since(owned.born).as_secs();
+                    self.cloud.boots.given_up(&owned.kind, &owned.zone, after_s);
+                }
                 owned.drain_since = Some(self.now);
             }
         }
