Jobs that ended long ago are put away; the stand-in learns the new troubles

Cause: final records lay under the prefix that every node lists and watches. Tests for a node that stands still or falls silent, slow boots, mistaken jobs, faulty machines, swarm and polls.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -23,6 +23,11 @@
 pub fn job_key(job: &JobRef) -> String {
     format!("t/j/{job}")
 }
+/// What is kept of a job for ever. Not under the root that every node reads
+/// and watches: start-up and memory must not grow with all jobs there ever were.
+pub fn past_key(job: &JobRef) -> String {
+    format!("f/{job}")
+}
 /// A node's note that it answers workers of a part in its owner's name.
 pub fn keep_key(part: PartId, node: &NodeName) -> String {
     format!("t/w/{part}/{node}")
@@ -127,6 +132,13 @@
     pub end: Option<End>,
 }
 
+/// A job that ended long ago.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct PastRecord {
+    pub end: End,
+    pub tasks: u32,
+}
+
 /// Where one task stands.
 #[derive(Debug, Clone, PartialEq)]
 pub enum TaskRecord {
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -2,13 +2,16 @@
 //! own committed transactions and by reads; versions decide what is newer.
 
 use super::records::{
-    AllowanceRecord, End, FleetRecord, HolderRecord, JobRecord, Key, NodeRecord, SliceRecord, TaskRecord,
+    AllowanceRecord, End, FleetRecord, HolderRecord, JobRecord, Key, NodeRecord, PastRecord, SliceRecord, TaskRecord,
 };
 use crate::protocol::cloud::Catalog;
 use crate::units::{Attempt, JobRef, NodeName, PartId, Revision};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Ended jobs remembered beyond those with a record under the root.
+const MOST_PAST: usize = 2000;
 
 /// A record with the version it was read at; absent records remember the
 /// revision at which they were seen to be absent.
@@ -127,6 +130,9 @@
     pub jobs: BTreeMap<JobRef, Job>,
     /// Jobs with anything left to do or to clear away.
     pub active: BTreeSet<JobRef>,
+    /// Jobs that ended long ago, as far as they were asked for lately.
+    past: BTreeMap<JobRef, PastRecord>,
+    past_order: VecDeque<JobRef>,
     /// Slices that came before their job did.
     early: BTreeMap<(JobRef, usize), Held<SliceRecord>>,
 }
@@ -171,10 +177,13 @@
                 let record = read(key, value)?;
                 changed(self.allowances.entry(part).or_default().take(at, record), Changed::Other)
             }
-            Key::Job(job) => {
-                let Some(record) = read(key, value)? else { return Ok(Changed::Nothing) };
-                changed(self.take_job(&job, record, at), Changed::Job(job))
-            }
+            Key::Job(job) => match read(key, value)? {
+                Some(record) => changed(self.take_job(&job, record, at), Changed::Job(job)),
+                None => {
+                    self.drop_job(&job, at);
+                    Changed::Nothing
+                }
+            },
             Key::Slice(job, index) => {
                 let record = read(key, value)?;
                 let slice = match self.jobs.get_mut(&job) {
@@ -212,6 +221,30 @@
         true
     }
 
+    /// A job's record is gone: it was put away with those that ended long ago.
+    fn drop_job(&mut self, id: &JobRef, at: Revision) {
+        if self.jobs.get(id).is_none_or(|j| at <= j.version) {
+            return;
+        }
+        if let Some(job) = self.jobs.remove(id) {
+            self.active.remove(id);
+            if let Some(end) = job.record.end {
+                self.remember_past(id, PastRecord { end, tasks: job.record.spec.tasks });
+            }
+        }
+    }
+
+    pub fn remember_past(&mut self, id: &JobRef, record: PastRecord) {
+        if self.past.insert(id.clone(), record).is_none() {
+            self.past_order.push_back(id.clone());
+        }
+        while self.past_order.len() > MOST_PAST {
+            if let Some(oldest) = self.past_order.pop_front() {
+                self.past.remove(&oldest);
+            }
+        }
+    }
+
     /// Keeps the list of active jobs: a job leaves it when nothing of it can
     /// still be on a machine.
     fn settle(&mut self, id: &JobRef) {
@@ -234,6 +267,7 @@
         absent.extend(self.keeps.keys().map(|(part, node)| r::keep_key(*part, node)));
         absent.push(r::LEADER_KEY.into());
         for (id, job) in &self.jobs {
+            absent.push(r::job_key(id));
             for (index, slice) in job.slices.iter().enumerate() {
                 if slice.held.record.is_some() {
                     absent.push(r::slice_key(id, index));
@@ -257,6 +291,10 @@
     }
 
     pub fn final_state(&self, job: &JobRef) -> Option<End> {
-        self.jobs.get(job)?.record.end
+        self.jobs.get(job).map_or_else(|| self.past(job).map(|p| p.end), |j| j.record.end)
+    }
+
+    pub fn past(&self, job: &JobRef) -> Option<PastRecord> {
+        self.past.get(job).copied()
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod openings;
 mod part;
+mod past;
 mod preempting;
 mod queries;
 mod queue;
@@ -179,10 +180,17 @@
     },
     SubmitRead {
         request: RequestId,
+        job: JobRef,
         fresh: bool,
     },
     /// How far the records have come; these questions wait for it.
     Probe(Vec<Question>),
+    /// Whether a job that has no record ended long ago; `known` if it was accepted once.
+    Past {
+        request: RequestId,
+        job: JobRef,
+        known: bool,
+    },
     CancelRead {
         request: RequestId,
         job: JobRef,
@@ -391,6 +399,7 @@
         self.lead();
         self.share_allowances();
         self.finish_jobs();
+        self.put_away();
     }
 
     fn reply(&mut self, request: RequestId, reply: Reply) {
@@ -474,7 +483,8 @@
             Pending::PartTxn { part, txn } => self.part_txn_answer(part, txn, answer),
             Pending::Reread { key, part } => self.reread_answer(key, part, answer),
             Pending::SubmitWrite { request, txn, spec } => self.submit_written(request, txn, spec, answer),
-            Pending::SubmitRead { request, fresh } => self.submit_read(request, fresh, answer),
+            Pending::SubmitRead { request, job, fresh } => self.submit_read(request, job, fresh, answer),
+            Pending::Past { request, job, known } => self.past_answer(request, job, known, answer),
             Pending::Probe(questions) => self.probed(questions, answer),
             Pending::CancelRead { request, job, tries } => self.cancel_read(request, job, tries, answer),
             Pending::CancelWrite { request, job, txn, tries } => self.cancel_written(request, job, txn, tries, answer),
--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -415,7 +415,10 @@
             if thrifty && haste > Haste::Soon {
                 break;
             }
-            let Some(job) = self.view.jobs.get(&id) else { continue };
+            let Some(job) = self.view.jobs.get(&id) else {
+                sent.push((id, index));
+                continue;
+            };
             let Some(change) = job.slices.get(index).and_then(|_| slice_change(job, &id, index)) else {
                 sent.push((id, index));
                 continue;
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -1,7 +1,7 @@
 //! Users: submissions, queries and cancellations.
 
 use super::*;
-use crate::bookkeeping::records::{job_key, End, JobRecord, Plan};
+use crate::bookkeeping::records::{job_key, past_key, End, JobRecord, Plan};
 use crate::protocol::users::{JobKind, JobState};
 
 /// Tries of a cancellation that meets other changes of its job.
@@ -39,12 +39,15 @@
         self.view.final_state(job).map(state_of)
     }
 
-    fn answer_job(&mut self, request: RequestId, status: u16, id: &JobRef, record: Option<&JobRecord>) {
+    pub(super) fn answer_job(&mut self, request: RequestId, status: u16, id: &JobRef, record: Option<&JobRecord>) {
         let ended = record.and_then(|r| r.end).map(state_of).or_else(|| self.known_final(id));
         let counts = self.view.jobs.get(id).map_or((0, 0), |j| j.counts());
         let (state, counts) = match ended {
             Some(JobState::Done) => {
-                let all = record.map(|r| r.spec.tasks).or(self.view.jobs.get(id).map(|j| j.record.spec.tasks));
+                let all = record
+                    .map(|r| r.spec.tasks)
+                    .or(self.view.jobs.get(id).map(|j| j.record.spec.tasks))
+                    .or(self.view.past(id).map(|p| p.tasks));
                 (JobState::Done, all.map(|tasks| (tasks, 0)))
             }
             Some(state) => (state, Some((counts.0, 0))),
@@ -55,7 +58,7 @@
     }
 
     /// Takes from the share of reads what a user's request needs.
-    fn afford(&mut self, request: RequestId, cost: f64) -> bool {
+    pub(super) fn afford(&mut self, request: RequestId, cost: f64) -> bool {
         if self.now >= self.retry_state_at && self.reads.take(self.now, cost) {
             return true;
         }
@@ -89,7 +92,11 @@
         };
         let key = job_key(&spec.id);
         let txn = Txn {
-            conditions: vec![Condition { key: key.clone(), version: Revision(0) }],
+            // A retry may come when the job is long over and put away.
+            conditions: vec![
+                Condition { key: key.clone(), version: Revision(0) },
+                Condition { key: past_key(&spec.id), version: Revision(0) },
+            ],
             changes: vec![Change::put(key, value)],
         };
         self.call_state(StateCall::Txn(txn.clone()), Pending::SubmitWrite { request, txn, spec });
@@ -148,18 +155,21 @@
             // Known already, or our own transaction after all.
             StateAnswer::Conflict(_) => {
                 self.reads.force(self.now, 1.0);
-                self.call_state(StateCall::Get { key }, Pending::SubmitRead { request, fresh: false });
+                self.call_state(StateCall::Get { key }, Pending::SubmitRead { request, job: spec.id, fresh: false });
             }
             StateAnswer::Unknown => {
                 self.reads.force(self.now, 1.0);
-                self.call_state(StateCall::Get { key }, Pending::SubmitRead { request, fresh: true });
+                self.call_state(StateCall::Get { key }, Pending::SubmitRead { request, job: spec.id, fresh: true });
             }
             StateAnswer::Rejected(_) => self.reply(request, Reply::problem(400, "too large to keep")),
             _ => self.reply(request, Reply::later("the state service does not answer")),
         }
     }
 
-    pub(super) fn submit_read(&mut self, request: RequestId, fresh: bool, answer: StateAnswer) {
+    pub(super) fn submit_read(&mut self, request: RequestId, job: JobRef, fresh: bool, answer: StateAnswer) {
+        if matches!(answer, StateAnswer::Missing(_)) {
+            return self.ask_past(request, job, true);
+        }
         match self.take_job(answer) {
             Some((id, record)) => self.answer_job(request, if fresh { 201 } else { 200 }, &id, Some(&record)),
             None => self.reply(request, Reply::later("the state service does not answer")),
@@ -187,7 +197,7 @@
         if self.view.jobs.contains_key(job) {
             self.answer_job(request, 200, job, None);
         } else {
-            self.reply(request, Reply::problem(404, "no such job"));
+            self.ask_past(request, job.clone(), false);
         }
     }
 
@@ -203,7 +213,7 @@
 
     pub(super) fn cancel_read(&mut self, request: RequestId, job: JobRef, tries: u32, answer: StateAnswer) {
         if matches!(answer, StateAnswer::Missing(_)) && !self.view.jobs.contains_key(&job) {
-            return self.reply(request, Reply::problem(404, "no such job"));
+            return self.ask_past(request, job, false);
         }
         let version = match &answer {
             StateAnswer::Found(item) => item.version,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -50,6 +50,13 @@
         (0usize..50).prop_map(|pick| Fault::MachineDies { pick }),
         (0usize..50, 500u64..30_000).prop_map(|(pick, for_ms)| Fault::MachineHangs { pick, for_ms }),
         (1000u64..40_000).prop_map(|for_ms| Fault::PeersCut { for_ms }),
+        (0usize..3, 500u64..35_000).prop_map(|(node, for_ms)| Fault::StandsStill { node, for_ms }),
+        (2u64..20, 0usize..5, 5000u64..60_000).prop_map(|(times, never_each, for_ms)| Fault::SlowBoots {
+            times,
+            never_each,
+            for_ms
+        }),
+        (0usize..50).prop_map(|pick| Fault::MachineFaulty { pick }),
     ]
 }
 
@@ -104,6 +111,124 @@
     assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
 }
 
+/// Work enough to keep all machines for the time of a test.
+fn steady(world: &mut World, until: u64) {
+    for number in 0..(until / 6000) as usize {
+        world.submit(3000 + number as u64 * 6000, job(500 + number, 40, 1.0, 10.0, "plain"));
+    }
+}
+
+/// A controller that stood still past its lease, and one that nobody could
+/// reach for a minute: others serve its workers, nothing runs twice, and its
+/// late words change nothing.
+#[test]
+fn a_controller_that_stands_still_or_falls_silent_breaks_nothing() {
+    let mut world = World::new(3, 10.0);
+    work(&mut world);
+    for (at, node, for_ms) in [(20_000, 0, 20_000), (45_000, 1, 5000), (52_000, 0, 9900), (70_000, 2, 35_000)] {
+        world.fault(at, Fault::StandsStill { node, for_ms });
+    }
+    world.fault(110_000, Fault::StateSilence { node: 1, for_ms: 65_000, late: 3000 });
+    for zone in 0..2 {
+        world.fault(110_000, Fault::Cut { node: 1, zone, for_ms: 65_000, hold: true });
+    }
+    world.run(420_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
+    assert_eq!(world.sessions_ended(), 0, "its workers' tasks were not kept");
+}
+
+/// While boots were slow, each machine was given up and asked for again, and
+/// all of them were paid for when they came.
+#[test]
+fn machines_that_come_late_are_not_asked_for_over_and_over() {
+    let mut world = World::new(4, 10.0);
+    world.fault(1, Fault::SlowBoots { times: 6, never_each: 6, for_ms: 150_000 });
+    steady(&mut world, 150_000);
+    world.run(420_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
+    assert!(world.rented() <= 24, "{} machines for a fleet of 14", world.rented());
+}
+
+/// Two jobs with a mistake made every healthy machine look faulty.
+#[test]
+fn jobs_that_always_fail_cost_little_and_no_machine() {
+    let mut world = World::new(6, 10.0);
+    steady(&mut world, 120_000);
+    for number in 0..6 {
+        let id = JobRef::new(&format!("wk-{:06}", 900 + number));
+        world.mistaken.insert(id.clone());
+        let at = 30_000 + number as u64 * 4000;
+        world.submit(at, job(900 + number, 12, 1.0, 10.0, "plain"));
+        world.cancel(at + 80_000, &id);
+    }
+    world.run(110_000);
+    // A few stand idle for other reasons.
+    assert!(world.misjudged().0 <= 4, "{} healthy machines were given back", world.misjudged().0);
+    let most = world.mistaken.iter().filter_map(|id| world.tries.get(id)).max().copied().unwrap_or(0);
+    assert!((1..=40).contains(&most), "{most} tries of a job of 12 tasks");
+    world.run(420_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
+}
+
+/// The other way round: sound jobs that meet faulty machines.
+#[test]
+fn faulty_machines_are_given_back_and_the_jobs_they_failed_run() {
+    let mut world = World::new(7, 10.0);
+    steady(&mut world, 120_000);
+    for pick in [1, 4] {
+        world.fault(40_000, Fault::MachineFaulty { pick });
+    }
+    world.run(100_000);
+    assert_eq!(world.misjudged().1, 0, "faulty machines were kept");
+    world.run(420_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
+}
+
+/// Each poll cost a read of its job, which kept submissions from being taken;
+/// each tiny job cost four writes at once.
+#[test]
+fn a_swarm_and_a_poll_storm_stay_within_the_limits() {
+    let mut world = World::new(8, 10.0);
+    steady(&mut world, 90_000);
+    for number in 0..600 {
+        world.submit(40_000 + number * 50, job(2000 + number as usize, 1, 0.25, 8.0, "plain"));
+    }
+    for poll in 0..9000 {
+        world.poll(40_000 + poll * 5, &JobRef::new(&format!("wk-{:06}", 500 + poll % 10)));
+    }
+    world.run(100_000);
+    assert!(world.refused < 100, "{} requests refused", world.refused);
+    // What the settings allow for each second, with a second's burst.
+    let most_of = |seconds: &std::collections::BTreeMap<u64, usize>| seconds.values().copied().max().unwrap_or(0);
+    assert!(most_of(&world.state.writes) <= 400, "{} writes", most_of(&world.state.writes));
+    assert!(most_of(&world.state.requests) <= 400, "{} requests", most_of(&world.state.requests));
+    world.run(420_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
+}
+
+/// Records of all jobs ever were read at every start and kept by every node.
+#[test]
+fn jobs_that_ended_long_ago_are_put_away_and_still_known() {
+    let mut world = World::new(9, 10.0);
+    work(&mut world);
+    world.run(600_000);
+    assert_eq!((world.keys("t/j/"), world.keys("f/")), (0, 24));
+    world.fault(600_000, Fault::Crash { node: 0, back_after: 1000 });
+    for number in 0..24 {
+        let text = job(number, 3 + (number as u32 * 7) % 30, 1.0, 4.0, "plain");
+        world.submit(610_000, text);
+    }
+    // Users go on asking all the while.
+    world.run(640_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert_eq!(world.keys("t/j/"), 0, "a retry brought a job back to life");
+}
+
 /// The checker can fail: controllers that believe leases to be shorter than
 /// they are start tasks of silent machines again too early.
 #[test]
