--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -607,3 +607,55 @@
         Change::Delete { delete } => delete,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn core() -> Core {
+        let settings = serde_json::json!({
+            "label": "n0", "client_listen": "127.0.0.1:1", "internal_addr": "127.0.0.1:2",
+            "known": [{"label": "n1", "address": "127.0.0.1:3"}],
+            "external": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+            "cluster": {
+                "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 40.0},
+                "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 12},
+                "cloud": {"rps": 2.0, "list_lag_s": 8.0},
+                "quota": {"ram_mb": 56.0, "fd_limit": 800}
+            }
+        });
+        Core::new(serde_json::from_value(settings).expect("settings"), Tuning::default())
+    }
+
+    /// A node that stood still took its peers to be silent and its machines to
+    /// be idle, and exits found afterwards for runs as much longer.
+    #[test]
+    fn a_standstill_is_nobodys_silence_and_no_run_time() {
+        let mut core = core();
+        core.handle(Time(900), 0, Input::Tick);
+        core.handle(Time(1000), 0, Input::Note(Note { from: "n1".into(), ..Note::default() }));
+        core.handle(Time(1050), 0, Input::Tick);
+        assert_eq!(core.resumed, Time(0));
+        core.handle(Time(21_050), 20_000, Input::Tick);
+        assert_eq!(core.resumed, Time(21_050));
+        let heard = core.peers[&NodeName::new("n1")].heard;
+        assert_eq!(heard, Some(Time(21_000)));
+    }
+
+    /// With a size of 16, an array of 25,000 tasks took thousands of writes;
+    /// a slice must still stay one value with all of its tasks running.
+    #[test]
+    fn large_arrays_share_writes_within_one_value() {
+        let core = core();
+        assert_eq!(core.slice_size(300), 16);
+        let size = core.slice_size(25_000);
+        assert!((100..200).contains(&size), "{size}");
+        let task = |n: u32| records::TaskRecord::On(crate::units::Attempt(99), MachineId::new(&format!("i-{n:07}")));
+        for tasks in [25_000, 100_000] {
+            let record = records::SliceRecord { tasks: (0..core.slice_size(tasks)).map(task).collect() };
+            let plan = records::Plan { size, parts: vec![PartId(1); tasks.div_ceil(core.slice_size(tasks)) as usize] };
+            assert!(serde_json::to_vec(&record).unwrap().len() < 8 * 1024);
+            assert!(serde_json::to_vec(&plan).unwrap().len() < 6 * 1024);
+        }
+    }
+}
