An owner that no worker reaches hands its parts over before their leases end

Also: slow boots alone make a type dearer, and any later machine that is up shows that a boot was overtaken.

--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -171,9 +171,11 @@
     /// True if a machine should have been up long ago.
     fn stuck(&self, m: &Owned) -> bool {
         let Some(t) = self.catalog.get(&m.kind).filter(|_| !m.up) else { return false };
-        let overtaken = self.cloud.machines.values().any(|other| {
-            other.up && other.rented_here && other.born > m.born && other.kind == m.kind && other.zone == m.zone
-        });
+        let overtaken = self
+            .cloud
+            .machines
+            .values()
+            .any(|other| other.up && other.born > m.born && other.kind == m.kind && other.zone == m.zone);
         let age_s = self.now.since(m.born).as_secs();
         self.cloud.boots.hopeless(&m.kind, &m.zone, t.boot_s, age_s, overtaken)
     }
@@ -488,8 +490,9 @@
                         let count = (lack / useful).ceil().clamp(1.0, f64::from(RENT_LIMIT));
                         // Time lost to fetching images, some of which are shared.
                         let fetch = if t.fetch_gb_per_s > 0.0 { group.fetch_gb / t.fetch_gb_per_s } else { 0.0 };
-                        // Time paid for that it boots.
-                        let boot = self.cloud.boots.usual_s(&t.name, zone, t.boot_s) / PAID_FOR_S;
+                        // Boots that are slower than they should be are paid for.
+                        let late = self.cloud.boots.usual_s(&t.name, zone, t.boot_s) - t.boot_s;
+                        let boot = late.max(0.0) / PAID_FOR_S;
                         let slow = 1.0 + 0.5 * fetch / group.run_s.max(1e-6) + boot;
                         let cost = count * price * slow / (count * useful).min(lack);
                         // At about the same price, the zone with less of ours:
--- a/src/coordination/keeping.rs
+++ b/src/coordination/keeping.rs
@@ -36,7 +36,7 @@
         Span((self.timing.worker_lease.0 / 4).max(2 * NOTE_EVERY.0 + 200))
     }
 
-    fn heard_for(&self, node: &NodeName, span: Span) -> bool {
+    pub(super) fn heard_for(&self, node: &NodeName, span: Span) -> bool {
         let heard = self.peers.get(node).and_then(|p| p.heard).unwrap_or(self.began);
         self.now.since(heard) <= span
     }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -73,6 +73,7 @@
             _ => {}
         }
         if let (true, Some(lease)) = (self.loaded, self.lease) {
+            self.tend_withdrawal();
             self.announce(lease);
             self.claim_parts(lease);
             self.claim_lead(lease);
@@ -190,7 +191,7 @@
         let key = records::node_key(&self.me);
         let held = self.view.nodes.get(&self.me);
         let current = held.and_then(|h| h.record.as_ref()).is_some_and(|r| r.lease == lease);
-        if current || self.busy_keys.contains(&key) {
+        if current || self.withdrawn() || self.busy_keys.contains(&key) {
             return;
         }
         if let Ok(value) = serde_json::to_value(NodeRecord { lease }) {
@@ -205,7 +206,8 @@
     }
 
     fn claim_parts(&mut self, lease: LeaseId) {
-        if self.view.nodes.get(&self.me).is_none_or(|h| h.record.is_none()) {
+        let announced = self.view.nodes.get(&self.me).is_some_and(|h| h.record.is_some());
+        if !announced && !self.withdrawn() {
             return;
         }
         for (part, target) in self.live_targets() {
@@ -244,14 +246,16 @@
                 return;
             }
         };
-        // A node that has just come up is given a moment to settle.
-        if now.since(since) < Span(1500) {
+        // A node that has just come up is given a moment to settle; workers that
+        // we cannot reach have none to lose.
+        let withdrawn = self.withdrawn();
+        if now.since(since) < Span(1500) && !withdrawn {
             return;
         }
         let Some(mine) = self.mine.get_mut(&part) else { return };
         mine.releasing = true;
         let idle = mine.inflight.is_none() && mine.rereads == 0;
-        if !idle || (!mine.dirty.is_empty() && now.since(since) < Span(4000)) {
+        if !idle || (!mine.dirty.is_empty() && !withdrawn && now.since(since) < Span(4000)) {
             return;
         }
         let token = mine.token;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,6 +16,7 @@
 mod rounds;
 pub mod scoring;
 mod users;
+mod withdrawing;
 mod workers;
 
 use crate::bookkeeping::budget::Budget;
@@ -275,6 +276,7 @@
     cloud: buying::Fleet,
     learned: rounds::Learned,
     queries: Queries,
+    withdrawal: withdrawing::Withdrawal,
     /// The last whole note to the other controllers.
     told: Note,
 }
@@ -326,6 +328,7 @@
             cloud: buying::Fleet::default(),
             learned: rounds::Learned::default(),
             queries: Queries::default(),
+            withdrawal: withdrawing::Withdrawal::default(),
             told: Note::default(),
         }
     }
--- /dev/null
+++ b/src/coordination/withdrawing.rs
@@ -0,0 +1,81 @@
+//! Stepping back from parts whose workers cannot reach this node.
+//!
+//! A controller may lose the workers alone: it renews its lease, the others
+//! hear it and send its workers back to it, and their leases run out. So an
+//! owner that all of its workers have fallen silent to, while the records and
+//! its peers answer, takes itself off the list of nodes and hands its parts to
+//! others before that. It comes back after a pause, longer each time, or as
+//! soon as a worker reaches it.
+
+use super::*;
+
+/// Fewer machines may fall silent together by chance.
+const LEAST_MACHINES: usize = 3;
+
+/// Pauses before it tries again: the first, and the last that doubling leads to.
+const FIRST_PAUSE: Span = Span(30_000);
+const LAST_PAUSE: Span = Span(240_000);
+
+#[derive(Debug, Default)]
+pub(super) struct Withdrawal {
+    /// When a worker, any worker, was heard last.
+    heard: Option<Time>,
+    /// Since when, and until when at the latest.
+    away: Option<(Time, Time)>,
+    pause: Span,
+}
+
+impl Withdrawal {
+    pub fn heard(&mut self, now: Time) {
+        self.heard = Some(now);
+    }
+}
+
+impl Core {
+    pub(super) fn withdrawn(&self) -> bool {
+        self.withdrawal.away.is_some()
+    }
+
+    /// True if all workers of our parts fell silent, though nothing else did.
+    fn out_of_reach(&self) -> bool {
+        // Soon enough for a successor to answer within the workers' leases:
+        // they wait 4 s for us, and a second before they ask the next node.
+        let quiet =
+            Span((self.timing.worker_lease.0 / 4).max((self.settings.cluster.workers.report_s * 2500.0) as u64));
+        // A part taken over counts from then, with the machines that its records name.
+        let owned = self.mine.values().map(|m| m.since).max();
+        let heard = self.withdrawal.heard.max(owned).unwrap_or(self.now).max(self.resumed);
+        let silent = self.now.since(heard) > quiet;
+        let names = self.mine.values().flat_map(|m| m.on.keys().chain(m.machines.keys()));
+        let machines = names.collect::<BTreeSet<_>>().len();
+        let others = self.view.live().filter(|(node, _)| **node != self.me && self.heard_for(node, quiet)).count();
+        silent && machines >= LEAST_MACHINES && others > 0 && self.state_fresh()
+    }
+
+    pub(super) fn tend_withdrawal(&mut self) {
+        let now = self.now;
+        match self.withdrawal.away {
+            None if self.out_of_reach() => {
+                tracing::info!("no worker reaches this node: its parts go to others");
+                let pause = Span((self.withdrawal.pause.0 * 2).clamp(FIRST_PAUSE.0, LAST_PAUSE.0));
+                self.withdrawal.pause = pause;
+                self.withdrawal.away = Some((now, now + pause));
+            }
+            Some((since, until)) => {
+                let reached = self.withdrawal.heard.is_some_and(|at| at > since);
+                if reached || now >= until {
+                    tracing::info!("this node takes parts again");
+                    self.withdrawal.away = None;
+                    self.withdrawal.pause = if reached { Span(0) } else { self.withdrawal.pause };
+                    return;
+                }
+            }
+            None => return,
+        }
+        let key = records::node_key(&self.me);
+        let listed = self.view.nodes.get(&self.me).is_some_and(|h| h.record.is_some());
+        if listed && !self.busy_keys.contains(&key) {
+            self.simple_txn(Txn { conditions: vec![], changes: vec![Change::delete(key)] });
+        }
+    }
+}
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -12,6 +12,7 @@
 impl Core {
     pub(super) fn report(&mut self, request: RequestId, report: Report) {
         let part = self.part_of(&report.machine);
+        self.withdrawal.heard(self.now);
         let Some(mine) = self.mine.get(&part) else {
             let reply = self.answer_stranger(part, &report);
             return self.reply(request, reply);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -111,6 +111,22 @@
     assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
 }
 
+/// A controller that lost the workers alone went on renewing its lease, the
+/// others sent its workers back to it, and all of their tasks were killed.
+#[test]
+fn an_owner_that_no_worker_reaches_hands_its_parts_over_in_time() {
+    let mut world = World::new(5, 10.0);
+    work(&mut world);
+    for zone in 0..2 {
+        world.fault(30_000, Fault::Cut { node: 0, zone, for_ms: 45_000, hold: false });
+    }
+    world.run(100_000);
+    assert_eq!(world.sessions_ended(), 0);
+    world.run(420_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
+}
+
 /// Work enough to keep all machines for the time of a test.
 fn steady(world: &mut World, until: u64) {
     for number in 0..(until / 6000) as usize {
