--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -123,7 +123,7 @@
     connection.write(text.as_bytes(), WHOLE)
 }
 
-fn serve(stream: TcpStream, engine: &SyncSender<Event>) -> Result<(), HttpError> {
+fn serve(stream: TcpStream, engine: &SyncSender<Event>, crowded: impl Fn() -> bool) -> Result<(), HttpError> {
     let mut connection = Connection::new(stream);
     let (answers, answered) = sync_channel(1);
     loop {
@@ -138,12 +138,18 @@
         match route(&head.method, &head.path, &body) {
             Routed::Answer(status, body) => write(&mut connection, status, &body, None, head.close)?,
             Routed::Ask(asked) => {
+                // With few connections left, users' are not kept between
+                // requests: workers must find one however many users ask.
+                let close = head.close || matches!(asked, Asked::User(_)) && crowded();
                 let sent = engine.try_send(Event::Asked(asked, answers.clone())).is_ok();
                 let reply = if sent { answered.recv_timeout(ANSWER_WITHIN).ok() } else { None };
                 match reply {
                     Some(reply) => {
                         let (status, body, retry) = render(&reply);
-                        write(&mut connection, status, &body, retry, head.close)?;
+                        write(&mut connection, status, &body, retry, close)?;
+                        if close {
+                            return Ok(());
+                        }
                     }
                     // Overloaded; a late answer must not be taken for the next one.
                     None => return write(&mut connection, 503, r#"{"error":"overloaded"}"#, Some(1), true),
@@ -172,7 +178,8 @@
         open.fetch_add(1, Ordering::Relaxed);
         let (counter, engine) = (open.clone(), engine.clone());
         let thread = std::thread::Builder::new().stack_size(STACK).spawn(move || {
-            if let Err(error) = serve(stream, &engine) {
+            let crowded = || counter.load(Ordering::Relaxed) > most / 4 * 3;
+            if let Err(error) = serve(stream, &engine, crowded) {
                 tracing::debug!("a connection ended: {error}");
             }
             counter.fetch_sub(1, Ordering::Relaxed);
