--- /dev/null
+++ b/benches/cost.rs
@@ -0,0 +1,82 @@
+//! What each input costs the controllers' cores at fleets of several sizes.
+//!
+//!     cargo bench --bench cost [-- MACHINES...]
+//!
+//! Drives five controllers in virtual time with the stand-in of the tests:
+//! work for all machines, a burst, and a crash. The times are real ones of this
+//! machine, so they are printed and judged by nobody. What matters is how they
+//! grow: cost per report and per change must not follow the number of machines.
+
+#[path = "../tests/standin/mod.rs"]
+#[allow(dead_code)]
+mod standin;
+
+use standin::{Cost, Fault, Shape, World};
+use std::collections::BTreeMap;
+use tillercleat::protocol::users::JobSpec;
+
+/// Virtual time before costs are counted, while the fleet fills up.
+const WARM_MS: u64 = 30_000;
+/// Virtual time at which all of it ends.
+const END_MS: u64 = 90_000;
+/// Jobs a second for each thousand machines.
+const JOBS_PER_S: f64 = 3.5;
+
+fn job(number: u64, random: u64) -> JobSpec {
+    let (tasks, cpus, run_s, rank) = match random % 8 {
+        0..=2 => (90 + random / 8 % 200, 1.0, 12.0 + (random / 16 % 20) as f64, "normal"),
+        3..=5 => (8 + random / 8 % 24, 1.0, 30.0 + (random / 16 % 30) as f64, "high"),
+        6 => (40 + random / 8 % 80, 2.0, 45.0 + (random / 16 % 60) as f64, "normal"),
+        _ => (20 + random / 8 % 40, 4.0, 60.0 + (random / 16 % 60) as f64, "idle"),
+    };
+    let text = serde_json::json!({
+        "ref": format!("wk-{number:06}"), "haul": format!("class-{}", random % 8),
+        "crew": if number % 2 == 0 { "red" } else { "blue" }, "rig": "array", "rank": rank, "loads": tasks,
+        "cores": cpus, "gpus": 0.0, "mem_gb": cpus * 3.0, "kit": format!("img-{}", random % 16), "image_gb": 0.7,
+        "hulls": null, "berth": null, "one_zone": false, "apart": false, "driftwood": true,
+        "reckon_s": run_s, "mark_s": 0.0, "stow_s": 0.0, "tide_s": run_s * 3.0 + 10.0
+    });
+    JobSpec::parse(text.to_string().as_bytes()).expect("a valid job")
+}
+
+/// Costs by kind of input, jobs accepted and tasks started.
+fn measure(machines: usize) -> (BTreeMap<&'static str, Cost>, usize, usize) {
+    let mut world = World::sized(1, Shape::fleet(5, 3, machines));
+    let pause = 1000.0 / (JOBS_PER_S * machines as f64 / 1000.0);
+    let mut at = 4000.0;
+    let mut number = 0;
+    while at < END_MS as f64 {
+        let random = world.random(1 << 30);
+        world.submit(at as u64, job(number, random));
+        number += 1;
+        let burst = (50_000.0..60_000.0).contains(&at);
+        at += if burst { pause / 3.0 } else { pause };
+    }
+    world.fault(65_000, Fault::Crash { node: 2, back_after: 5000 });
+    world.run(WARM_MS);
+    world.costs.clear();
+    world.run(END_MS);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    (std::mem::take(&mut world.costs), world.jobs.len(), world.starts)
+}
+
+fn main() {
+    // Cargo passes flags of its own to benches.
+    let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|arg| arg.parse().ok()).collect();
+    let sizes = if sizes.is_empty() { vec![750, 1500, 3000] } else { sizes };
+    println!("{:>8} {:>9} {:>8} {:>11} {:>11} {:>9}", "machines", "input", "count", "mean us", "most us", "sum s");
+    for machines in sizes {
+        let (costs, jobs, starts) = measure(machines);
+        for (kind, cost) in &costs {
+            println!(
+                "{machines:>8} {kind:>9} {:>8} {:>11.1} {:>11.0} {:>9.2}",
+                cost.count,
+                cost.nanos as f64 / 1e3 / cost.count as f64,
+                cost.most as f64 / 1e3,
+                cost.nanos as f64 / 1e9
+            );
+        }
+        let sum: u64 = costs.values().map(|c| c.nanos).sum();
+        println!("{machines:>8} {:>9} {jobs:>8} jobs, {starts} starts, {:.2} s in all", "all", sum as f64 / 1e9);
+    }
+}
--- a/src/bookkeeping/lifetimes.rs
+++ b/src/bookkeeping/lifetimes.rs
@@ -18,11 +18,21 @@
 #[derive(Debug, Clone, Default)]
 pub struct History {
     ended: VecDeque<Life>,
-    /// (age, share surviving beyond it), ages rising.
-    steps: Vec<(f64, f64)>,
+    /// Ages at which lives were lost, rising.
+    steps: Vec<Step>,
     longest: f64,
 }
 
+/// The curve at an age at which a life was lost.
+#[derive(Debug, Clone, Copy)]
+struct Step {
+    age_s: f64,
+    /// The share that survives beyond it.
+    share: f64,
+    /// Sum of the shares lost so far, each times the age at which it was.
+    lost_ages: f64,
+}
+
 impl History {
     pub fn add(&mut self, life: Life) {
         if self.ended.len() == WINDOW {
@@ -42,12 +52,14 @@
         lives.sort_by(|a, b| a.age_s.total_cmp(&b.age_s));
         self.longest = lives.last().map_or(0.0, |l| l.age_s);
         self.steps.clear();
-        let mut share = 1.0;
+        let (mut share, mut lost_ages) = (1.0, 0.0);
         let total = lives.len();
         for (before, life) in lives.iter().enumerate() {
             if life.lost {
-                share *= 1.0 - 1.0 / (total - before) as f64;
-                self.steps.push((life.age_s, share));
+                let left = share * (1.0 - 1.0 / (total - before) as f64);
+                lost_ages += (share - left) * life.age_s;
+                share = left;
+                self.steps.push(Step { age_s: life.age_s, share, lost_ages });
             }
         }
     }
@@ -55,18 +67,18 @@
     /// The age that half do not outlast, or, if more outlast all that ended,
     /// the highest age at which one did; none if none did.
     pub fn median(&self) -> Option<f64> {
-        let half = self.steps.iter().find(|step| step.1 <= 0.5 + 1e-9);
-        half.or(self.steps.last()).map(|step| step.0)
+        let half = self.steps.iter().find(|step| step.share <= 0.5 + 1e-9);
+        half.or(self.steps.last()).map(|step| step.age_s)
+    }
+
+    /// Share surviving and sum of lost ages after so many steps.
+    fn after(&self, steps: usize) -> (f64, f64) {
+        steps.checked_sub(1).map_or((1.0, 0.0), |last| (self.steps[last].share, self.steps[last].lost_ages))
     }
 
     /// P(X > age).
     fn survival(&self, age: f64) -> f64 {
-        let after = self.steps.partition_point(|&(at, _)| at <= age);
-        if after == 0 {
-            1.0
-        } else {
-            self.steps[after - 1].1
-        }
+        self.after(self.steps.partition_point(|step| step.age_s <= age)).0
     }
 
     /// P(X > e + d | X > e); 1 with no history, or at an age past every lifetime.
@@ -83,21 +95,12 @@
 
     /// E(X - e | e < X < e + d): the time a loss within the task's run wastes.
     pub fn wasted(&self, e: f64, d: f64) -> f64 {
-        let mut before = self.survival(e);
-        let (mut sum, mut mass) = (0.0, 0.0);
-        for &(at, share) in &self.steps {
-            if at <= e {
-                continue;
-            }
-            if at >= e + d {
-                break;
-            }
-            sum += (before - share) * (at - e);
-            mass += before - share;
-            before = share;
-        }
+        let (before, ages_before) = self.after(self.steps.partition_point(|step| step.age_s <= e));
+        let (beyond, ages_beyond) = self.after(self.steps.partition_point(|step| step.age_s < e + d));
+        let mass = before - beyond;
         if mass > 0.0 {
-            sum / mass
+            // Rounding must not lead beyond what the definition allows.
+            ((ages_beyond - ages_before) / mass - e).clamp(0.0, d)
         } else {
             d / 2.0
         }
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -6,6 +6,8 @@
 };
 use crate::protocol::cloud::Catalog;
 use crate::units::{Attempt, JobRef, NodeName, PartId, Revision};
+use foldhash::fast::FixedState;
+use indexmap::IndexMap;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -42,14 +44,90 @@
     }
 }
 
+/// A slice of a job. What rounds ask of every slice is counted when it changes.
 #[derive(Debug, Clone, Default)]
 pub struct Slice {
-    pub held: Held<SliceRecord>,
+    held: Held<SliceRecord>,
     /// What the part's owner wants to be durable; none: untouched.
-    pub want: Option<SliceRecord>,
+    want: Option<SliceRecord>,
+    /// Tasks done and on machines, of the durable record.
+    durable: (u32, u32),
+    /// Tasks that are wanted to run and are on no machine.
+    idle: u32,
 }
 
 impl Slice {
+    /// A slice whose durable record is known as of a revision.
+    pub fn known(at: Revision, record: Option<SliceRecord>) -> Slice {
+        let mut slice = Slice::default();
+        slice.take(at, record);
+        slice
+    }
+
+    pub fn held(&self) -> &Held<SliceRecord> {
+        &self.held
+    }
+
+    /// What is durable, if anything is.
+    pub fn record(&self) -> Option<&SliceRecord> {
+        self.held.record.as_ref()
+    }
+
+    pub fn want(&self) -> Option<&SliceRecord> {
+        self.want.as_ref()
+    }
+
+    /// What is wanted, or else what is durable.
+    pub fn newest(&self) -> Option<&SliceRecord> {
+        self.want().or(self.record())
+    }
+
+    /// Tasks that are wanted and wait for a machine.
+    pub fn idle(&self) -> u32 {
+        self.idle
+    }
+
+    /// Takes newer news of the durable record; false if it is old.
+    fn take(&mut self, at: Revision, record: Option<SliceRecord>) -> bool {
+        let new = self.held.take(at, record);
+        if new {
+            self.count_durable();
+        }
+        new
+    }
+
+    fn count_durable(&mut self) {
+        self.durable = (0, 0);
+        for task in self.held.record.iter().flat_map(|r| &r.tasks) {
+            match task {
+                TaskRecord::Done => self.durable.0 += 1,
+                TaskRecord::On(..) => self.durable.1 += 1,
+                TaskRecord::Idle(_) => {}
+            }
+        }
+    }
+
+    pub fn set_want(&mut self, want: Option<SliceRecord>) {
+        let idle = |r: &SliceRecord| r.tasks.iter().filter(|t| matches!(t, TaskRecord::Idle(_))).count();
+        self.idle = want.as_ref().map_or(0, idle) as u32;
+        self.want = want;
+    }
+
+    /// Changes what is wanted of one task; what was wanted before, if the
+    /// slice is wanted at all and has such a task.
+    pub fn set_task(&mut self, at: usize, to: TaskRecord) -> Option<TaskRecord> {
+        let slot = self.want.as_mut()?.tasks.get_mut(at)?;
+        self.idle += u32::from(matches!(to, TaskRecord::Idle(_)));
+        let from = std::mem::replace(slot, to);
+        self.idle -= u32::from(matches!(from, TaskRecord::Idle(_)));
+        Some(from)
+    }
+
+    /// True if all tasks are durably done.
+    pub fn is_done(&self) -> bool {
+        self.record().is_some_and(|r| r.tasks.len() == self.durable.0 as usize)
+    }
+
     /// True if the owner has changes that are not durable yet.
     pub fn dirty(&self) -> bool {
         match (&self.want, &self.held.record) {
@@ -61,7 +139,7 @@
     }
     /// True if no task of the slice can be on a machine: it may be dealt anew.
     pub fn movable(&self) -> bool {
-        self.held.record.as_ref().is_none_or(|r| !r.any_on() && !r.is_done())
+        self.durable.1 == 0 && !self.is_done()
     }
 }
 
@@ -75,20 +153,12 @@
 impl Job {
     /// Done and running tasks, for display.
     pub fn counts(&self) -> (u32, u32) {
-        let mut counts = (0, 0);
-        for task in self.slices.iter().filter_map(|s| s.held.record.as_ref()).flat_map(|r| &r.tasks) {
-            match task {
-                TaskRecord::Done => counts.0 += 1,
-                TaskRecord::On(..) => counts.1 += 1,
-                TaskRecord::Idle(_) => {}
-            }
-        }
-        counts
+        self.slices.iter().fold((0, 0), |sum, s| (sum.0 + s.durable.0, sum.1 + s.durable.1))
     }
 
     /// True if any task is, or is wanted, on a machine.
     pub fn wants_any_on(&self) -> bool {
-        self.slices.iter().any(|s| s.want.as_ref().or(s.held.record.as_ref()).is_some_and(|r| r.any_on()))
+        self.slices.iter().any(|s| s.newest().is_some_and(|r| r.any_on()))
     }
 
     /// False once all tasks are known to have completed, whatever slices that
@@ -127,7 +197,8 @@
     pub allowances: BTreeMap<PartId, Held<AllowanceRecord>>,
     /// Who answers workers of a part in its owner's name.
     pub keeps: BTreeMap<(PartId, NodeName), Held<NodeRecord>>,
-    pub jobs: BTreeMap<JobRef, Job>,
+    /// In no order that means anything.
+    pub jobs: IndexMap<JobRef, Job, FixedState>,
     /// Jobs with anything left to do or to clear away.
     pub active: BTreeSet<JobRef>,
     /// Jobs that ended long ago, as far as they were asked for lately.
@@ -185,12 +256,16 @@
                 }
             },
             Key::Slice(job, index) => {
+                let known = self.jobs.get_mut(&job).and_then(|known| known.slices.get_mut(index));
+                // Our own changes come back by the watch: they need no second reading.
+                if known.as_ref().is_some_and(|slice| at <= slice.held.known_at) {
+                    return Ok(Changed::Nothing);
+                }
                 let record = read(key, value)?;
-                let slice = match self.jobs.get_mut(&job) {
-                    Some(known) if index < known.slices.len() => &mut known.slices[index].held,
-                    _ => self.early.entry((job.clone(), index)).or_default(),
+                let new = match known {
+                    Some(slice) => slice.take(at, record),
+                    None => self.early.entry((job.clone(), index)).or_default().take(at, record),
                 };
-                let new = slice.take(at, record);
                 self.settle(&job);
                 changed(new, Changed::Slice(job, index))
             }
@@ -215,6 +290,7 @@
         for (index, slice) in job.slices.iter_mut().enumerate() {
             if let Some(held) = self.early.remove(&(id.clone(), index)) {
                 slice.held = held;
+                slice.count_durable();
             }
         }
         self.settle(id);
@@ -226,7 +302,7 @@
         if self.jobs.get(id).is_none_or(|j| at <= j.version) {
             return;
         }
-        if let Some(job) = self.jobs.remove(id) {
+        if let Some(job) = self.jobs.swap_remove(id) {
             self.active.remove(id);
             if let Some(end) = job.record.end {
                 self.remember_past(id, PastRecord { end, tasks: job.record.spec.tasks });
@@ -249,7 +325,7 @@
     /// still be on a machine.
     fn settle(&mut self, id: &JobRef) {
         let Some(job) = self.jobs.get(id) else { return };
-        let left = job.slices.iter().any(|s| s.held.record.is_some());
+        let left = job.slices.iter().any(|s| s.record().is_some());
         if job.record.end.is_none() || left {
             self.active.insert(id.clone());
         } else {
@@ -269,7 +345,7 @@
         for (id, job) in &self.jobs {
             absent.push(r::job_key(id));
             for (index, slice) in job.slices.iter().enumerate() {
-                if slice.held.record.is_some() {
+                if slice.record().is_some() {
                     absent.push(r::slice_key(id, index));
                 }
             }
--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -6,6 +6,8 @@
 use crate::bookkeeping::view::Job;
 use crate::protocol::cloud::{Listed, ListedState, RENT_LIMIT, RETURN_LIMIT};
 use crate::protocol::users::JobKind;
+use foldhash::fast::FixedState;
+use std::collections::HashSet;
 
 /// How far back the usual load is learned from, in seconds.
 const USUAL_S: f64 = 150.0;
@@ -63,6 +65,10 @@
     /// No capacity of a kind, zone and sort until then.
     refused: BTreeMap<(String, String, bool), (Time, u32)>,
     pub(super) boots: Boots,
+    /// What the record names, for looking up: asked for every machine in
+    /// every round and report.
+    drained: HashSet<MachineId, FixedState>,
+    returned: HashSet<MachineId, FixedState>,
     /// Returned for certain, but perhaps not in the record yet.
     gone: BTreeSet<MachineId>,
 }
@@ -105,13 +111,12 @@
 
 impl Core {
     pub(super) fn draining(&self, name: &MachineId) -> bool {
-        let record = self.view.fleet.record.as_ref();
-        record.is_some_and(|r| r.drain.contains(name) || r.gone.contains(name))
+        self.cloud.drained.contains(name) || self.cloud.returned.contains(name)
     }
 
     /// True if the return of the machine was confirmed.
     pub(super) fn returned(&self, name: &MachineId) -> bool {
-        self.view.fleet.record.as_ref().is_some_and(|r| r.gone.contains(name))
+        self.cloud.returned.contains(name)
     }
 
     pub(super) fn fleet_changed(&mut self) {
@@ -119,6 +124,8 @@
             for name in &record.gone {
                 self.cloud.machines.remove(name);
             }
+            self.cloud.drained = record.drain.iter().cloned().collect();
+            self.cloud.returned = record.gone.iter().cloned().collect();
         }
     }
 
@@ -260,7 +267,7 @@
         let mut busy = BTreeSet::new();
         for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).filter(|j| j.holds_machines()) {
             for slice in &job.slices {
-                for record in slice.held.record.iter().chain(slice.want.iter()) {
+                for record in slice.record().into_iter().chain(slice.want()) {
                     for task in &record.tasks {
                         if let TaskRecord::On(_, machine) = task {
                             busy.insert(machine.clone());
@@ -276,7 +283,7 @@
     fn used_cpus(&self) -> BTreeMap<MachineId, f64> {
         let mut used: BTreeMap<MachineId, f64> = BTreeMap::new();
         for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).filter(|j| j.holds_machines()) {
-            for record in job.slices.iter().filter_map(|s| s.want.as_ref().or(s.held.record.as_ref())) {
+            for record in job.slices.iter().filter_map(|s| s.newest()) {
                 for task in &record.tasks {
                     if let TaskRecord::On(_, machine) = task {
                         *used.entry(machine.clone()).or_default() += job.record.spec.cpus;
--- a/src/coordination/leading.rs
+++ b/src/coordination/leading.rs
@@ -77,7 +77,7 @@
             let spec = &job.record.spec;
             for slice in &job.slices {
                 // Our own parts' wishes are newer than what is durable.
-                let Some(record) = slice.want.as_ref().or(slice.held.record.as_ref()) else { continue };
+                let Some(record) = slice.newest() else { continue };
                 for task in &record.tasks {
                     if let TaskRecord::On(_, machine) = task {
                         let sum = used.entry(machine).or_default();
@@ -145,7 +145,7 @@
                 Condition { key: key.clone(), version: job.version },
             ];
             // A slice of which a task has started meanwhile must not move.
-            let version = |s: usize| job.slices.get(s).map_or(Revision(0), |slice| slice.held.version);
+            let version = |s: usize| job.slices.get(s).map_or(Revision(0), |slice| slice.held().version);
             conditions.extend(moved.iter().map(|&s| Condition { key: slice_key(&id, s), version: version(s) }));
             let record = JobRecord { plan: Some(plan), ..job.record.clone() };
             if let Ok(value) = serde_json::to_value(record) {
@@ -211,7 +211,7 @@
                 continue;
             }
             let all = plan.len(slice, job.record.spec.tasks);
-            let tasks = job.slices[slice].held.record.as_ref().map_or(all, |r| all - r.count_done());
+            let tasks = job.slices[slice].record().map_or(all, |r| all - r.count_done());
             let part = plan.parts[slice];
             let here = room.tasks(part, &job.record, tasks, false);
             if here * 2 >= tasks || moved.len() >= most {
--- /dev/null
+++ b/src/coordination/learned.rs
@@ -0,0 +1,119 @@
+//! What experience teaches: machines' lifetimes, run times against estimates,
+//! the size of jobs that must start at once, and what fails.
+
+use super::failures::Failures;
+use super::part::{Machine, Mine, TaskKey};
+use super::scoring::remaining;
+use super::*;
+use crate::bookkeeping::lifetimes::{History, Life};
+use crate::bookkeeping::view::Job;
+
+/// Kind, spot and zone: machines that share a history.
+type Family = (String, bool, String);
+
+/// How a class's run times compare with its owners' estimates.
+#[derive(Debug)]
+struct Ratio {
+    /// Mean logarithm of actual over estimated time, and its weight.
+    mean_ln: f64,
+    weight: f64,
+    /// The factor that follows from it.
+    factor: f64,
+}
+
+/// What this node has learned since it started.
+#[derive(Debug, Default)]
+pub struct Learned {
+    histories: BTreeMap<Family, History>,
+    ratios: BTreeMap<String, Ratio>,
+    /// Per class that must start at once: mean cores of a job, and weight.
+    job_cpus: BTreeMap<String, (f64, f64)>,
+    pub(super) failures: Failures,
+}
+
+impl Learned {
+    pub fn machine_gone(&mut self, machine: &Machine, now: Time, lost: bool) {
+        let family = (machine.kind.clone(), machine.spot, machine.zone.clone());
+        let age_s = now.since(machine.born).as_secs();
+        self.histories.entry(family).or_default().add(Life { age_s, lost });
+    }
+
+    pub fn learn_ratio(&mut self, class: &str, ratio: f64) {
+        let first = Ratio { mean_ln: 0.0, weight: 3.0, factor: 1.0 };
+        let entry = self.ratios.entry(class.to_string()).or_insert(first);
+        entry.mean_ln = (entry.mean_ln * entry.weight + ratio.clamp(0.1, 10.0).ln()) / (entry.weight + 1.0);
+        entry.weight = (entry.weight + 1.0).min(100.0);
+        entry.factor = entry.mean_ln.exp();
+    }
+
+    pub fn saw_job(&mut self, class: &str, cpus: f64) {
+        let mean = self.job_cpus.entry(class.to_string()).or_insert((0.0, 0.0));
+        mean.1 = (mean.1 + 1.0).min(30.0);
+        mean.0 += (cpus - mean.0) / mean.1;
+    }
+
+    /// Cores of a usual job of each class that must start at once, in all.
+    pub fn quick_cpus(&self) -> f64 {
+        self.job_cpus.values().map(|mean| mean.0).sum()
+    }
+
+    /// The owner's estimate, corrected by what its class has shown.
+    pub fn run_time(&self, class: &str, estimate_s: f64) -> f64 {
+        estimate_s * self.ratios.get(class).map_or(1.0, |r| r.factor)
+    }
+
+    /// The lifetimes of machines like this one, if any ended.
+    pub fn history(&self, machine: &Machine) -> Option<&History> {
+        let alike = |f: &&Family| f.0 == machine.kind && f.1 == machine.spot && f.2 == machine.zone;
+        // A handful of families: looked through faster than a key is made.
+        self.histories.iter().find(|(family, _)| alike(family)).map(|(_, history)| history)
+    }
+}
+
+impl Core {
+    pub(super) fn learn_run_time(&mut self, part: PartId, key: &TaskKey) {
+        let Some(mine) = self.mine.get(&part) else { return };
+        let Some(started) = mine.running_since.get(key) else { return };
+        // A task that ran before we owned the part began at a time unknown, and
+        // one that ran while we stood still ended at a time unknown. Learned
+        // from, a standstill of 20 s once made all later work seem half as long
+        // again, and machines were rented for it.
+        if started.since(mine.since) < Span(3000) || *started < self.resumed {
+            return;
+        }
+        let ran = self.now.since(*started).as_secs();
+        let Some(job) = self.view.jobs.get(&key.0) else { return };
+        let (class, estimate) = (job.record.spec.class.clone(), job.record.spec.estimate_s);
+        if estimate > 0.0 && ran > 0.5 {
+            self.learned.learn_ratio(&class, ran / estimate);
+        }
+    }
+
+    pub(super) fn rebuild_histories(&mut self) {
+        let mut up: BTreeMap<&Family, Vec<f64>> = self.learned.histories.keys().map(|f| (f, vec![])).collect();
+        for machine in self.mine.values().flat_map(|m| m.machines.values()) {
+            let alike = |f: &&&Family| f.0 == machine.kind && f.1 == machine.spot && f.2 == machine.zone;
+            if let Some(family) = up.keys().find(alike).copied() {
+                up.entry(family).or_default().push(self.now.since(machine.born).as_secs());
+            }
+        }
+        let ages: Vec<Vec<f64>> = up.into_values().collect();
+        for (history, ages) in self.learned.histories.values_mut().zip(ages) {
+            history.rebuild(&ages);
+        }
+    }
+
+    /// Time a placed task still needs, its image included.
+    pub(super) fn rest_of(&self, mine: &Mine, job: &Job, key: &TaskKey) -> f64 {
+        let spec = &job.record.spec;
+        self.rest_after(mine, self.learned.run_time(&spec.class, spec.estimate_s), key)
+    }
+
+    /// The same for a task whose run time is known already.
+    pub(super) fn rest_after(&self, mine: &Mine, run_s: f64, key: &TaskKey) -> f64 {
+        match mine.running_since.get(key) {
+            Some(at) => remaining(run_s, self.now.since(*at).as_secs()),
+            None => run_s + 2.0,
+        }
+    }
+}
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -291,7 +291,7 @@
                 let Some(job) = self.view.jobs.get_mut(&id) else { continue };
                 for index in 0..job.slices.len() {
                     if job.part_of(index) == Some(part) {
-                        job.slices[index].want = None;
+                        job.slices[index].set_want(None);
                     }
                 }
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 mod failures;
 mod keeping;
 mod leading;
+mod learned;
 mod membership;
 mod openings;
 mod part;
@@ -15,7 +16,9 @@
 mod queue;
 mod rounds;
 pub mod scoring;
+mod seats;
 mod users;
+mod waiting;
 mod withdrawing;
 mod workers;
 
@@ -274,7 +277,7 @@
     catalog: BTreeMap<String, MachineType>,
     catalog_at: Option<Time>,
     cloud: buying::Fleet,
-    learned: rounds::Learned,
+    learned: learned::Learned,
     queries: Queries,
     withdrawal: withdrawing::Withdrawal,
     /// The last whole note to the other controllers.
@@ -326,7 +329,7 @@
             catalog: BTreeMap::new(),
             catalog_at: None,
             cloud: buying::Fleet::default(),
-            learned: rounds::Learned::default(),
+            learned: learned::Learned::default(),
             queries: Queries::default(),
             withdrawal: withdrawing::Withdrawal::default(),
             told: Note::default(),
--- a/src/coordination/openings.rs
+++ b/src/coordination/openings.rs
@@ -23,14 +23,20 @@
         Openings { free, steps: vec![] }
     }
 
-    /// Takes what a task on the machine holds, until it ends.
+    /// Takes what a task on the machine holds, until it ends. After the last
+    /// of them comes `settle`.
     pub fn hold(&mut self, need: &Amounts, until: Option<f64>) {
         shift(&mut self.free, need, -1.0);
         if let Some(at) = until {
-            self.step(at, *need);
+            self.steps.push((at, *need));
         }
     }
 
+    /// Puts what was held in the order of time, once for all of it.
+    pub fn settle(&mut self) {
+        self.steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+    }
+
     /// Time from which there is room for good; none if never. Room that frees
     /// but is booked is not room: promised to every waiting task, one core
     /// would keep them all from machines that stand idle.
@@ -71,6 +77,7 @@
         let mut openings = Openings::new([2.0, 0.0, 8.0]);
         openings.hold(&ONE, Some(3.0));
         openings.hold(&ONE, Some(5.0));
+        openings.settle();
         openings
     }
 
--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -10,6 +10,8 @@
 use crate::protocol::users::Priority;
 use crate::protocol::workers::TaskState;
 use crate::units::{Attempt, Seq, Session};
+use foldhash::fast::FixedState;
+use std::collections::HashMap;
 
 /// A task within the view: its job and number.
 pub type TaskKey = (JobRef, u32);
@@ -67,7 +69,7 @@
     /// Tasks to be stopped, with the time they may take to save.
     pub stopping: BTreeMap<TaskKey, f64>,
     /// When each task was first reported to run.
-    pub running_since: BTreeMap<TaskKey, Time>,
+    pub running_since: HashMap<TaskKey, Time, FixedState>,
     /// Team resources in use, and those missing for waiting tasks.
     pub used: BTreeMap<String, (f64, f64)>,
     pub wanted: BTreeMap<String, (f64, f64)>,
@@ -91,7 +93,7 @@
             unkept: now,
             verdict: Verdict::None,
             stopping: BTreeMap::new(),
-            running_since: BTreeMap::new(),
+            running_since: HashMap::default(),
             used: BTreeMap::new(),
             wanted: BTreeMap::new(),
             giving: None,
@@ -135,11 +137,11 @@
 }
 
 fn haste_of(slice: &Slice, ended: bool) -> Haste {
-    let Some(want) = &slice.want else { return Haste::Whenever };
+    let Some(want) = slice.want() else { return Haste::Whenever };
     if ended {
         return Haste::Whenever;
     }
-    let durable = |at: usize| slice.held.record.as_ref().and_then(|r| r.tasks.get(at));
+    let durable = |at: usize| slice.record().and_then(|r| r.tasks.get(at));
     let starts = |(at, task): (usize, &TaskRecord)| matches!(task, TaskRecord::On(..)) && durable(at) != Some(task);
     if want.tasks.iter().enumerate().any(starts) {
         Haste::Start
@@ -163,11 +165,11 @@
 /// The change that makes a slice of a job as it is wanted, if one is needed.
 fn slice_change(job: &Job, id: &JobRef, index: usize) -> Option<Change> {
     let slice = &job.slices[index];
-    let want = slice.want.as_ref()?;
+    let want = slice.want()?;
     let key = slice_key(id, index);
     if job.record.end.is_some() && !want.any_on() {
         // Nothing of an ended job is left here: the slice has served.
-        return slice.held.record.as_ref().map(|_| Change::delete(key));
+        return slice.record().map(|_| Change::delete(key));
     }
     if slice.dirty() {
         return Some(Change::put(key, serde_json::to_value(want).ok()?));
@@ -204,24 +206,24 @@
             let slice = &mut job.slices[index];
             match self.mine.get_mut(&part) {
                 Some(mine) if wanted && (mine.ready || only.is_some()) => {
-                    if slice.want.is_none() {
+                    if slice.want().is_none() {
                         let first = job.record.plan.as_ref().map_or(0, |p| p.first_task(index));
-                        if let Some(held) = &slice.held.record {
+                        if let Some(held) = slice.record().cloned() {
                             for (at, task) in held.tasks.iter().enumerate() {
                                 if let TaskRecord::On(_, machine) = task {
                                     mine.on.entry(machine.clone()).or_default().insert((id.clone(), first + at as u32));
                                     mine.count(&job.record, 1.0);
                                 }
                             }
-                            slice.want = Some(held.clone());
+                            slice.set_want(Some(held));
                         } else if job.record.end.is_none() {
                             let len = job.record.plan.as_ref().map_or(0, |p| p.len(index, job.record.spec.tasks));
-                            slice.want = Some(SliceRecord::fresh(len));
+                            slice.set_want(Some(SliceRecord::fresh(len)));
                         }
                     }
                     mine.dirty.entry((id.clone(), index)).or_insert(self.now);
                 }
-                None => slice.want = None,
+                None => slice.set_want(None),
                 _ => {}
             }
         }
@@ -230,24 +232,26 @@
     /// Takes back wishes for tasks whose slice was dealt to another part
     /// before any of them was durable.
     fn let_go_of_moved(&mut self, id: &JobRef) {
+        let parts = self.parts;
         let Some(job) = self.view.jobs.get_mut(id) else { return };
-        let Some(plan) = job.record.plan.clone() else { return };
-        for (part, mine) in &mut self.mine {
-            let stays = |key: &TaskKey| plan.parts.get(plan.slice_of(key.1).0) == Some(part);
-            let moved: Vec<(MachineId, TaskKey)> = mine
-                .on
-                .iter()
-                .flat_map(|(m, tasks)| tasks.iter().map(move |t| (m, t)))
-                .filter(|(_, t)| t.0 == *id && !stays(t))
-                .map(|(m, t)| (m.clone(), t.clone()))
-                .collect();
-            for (machine, task) in moved {
-                if let Some(tasks) = mine.on.get_mut(&machine) {
-                    tasks.remove(&task);
+        let Some(plan) = &job.record.plan else { return };
+        for (index, slice) in job.slices.iter_mut().enumerate() {
+            let first = plan.first_task(index);
+            let mut moved: Vec<(PartId, MachineId, TaskKey)> = vec![];
+            for (at, task) in slice.want().into_iter().flat_map(|w| w.tasks.iter().enumerate()) {
+                let TaskRecord::On(_, machine) = task else { continue };
+                let from = PartId::of(machine.as_str(), parts);
+                if plan.parts.get(index) != Some(&from) {
+                    moved.push((from, machine.clone(), (id.clone(), first + at as u32)));
                 }
-                mine.count(&job.record, -1.0);
-                if let Some(slice) = job.slices.get_mut(plan.slice_of(task.1).0) {
-                    slice.want = None;
+            }
+            if !moved.is_empty() {
+                slice.set_want(None);
+            }
+            for (from, machine, key) in moved {
+                let Some(mine) = self.mine.get_mut(&from) else { continue };
+                if mine.on.get_mut(&machine).is_some_and(|tasks| tasks.remove(&key)) {
+                    mine.count(&job.record, -1.0);
                 }
             }
         }
@@ -290,7 +294,7 @@
             return;
         }
         let ours = job.part_of(0).is_some_and(|p| self.mine.contains_key(&p));
-        if ours && job.slices.iter().all(|s| s.held.record.as_ref().is_some_and(SliceRecord::is_done)) {
+        if ours && job.slices.iter().all(Slice::is_done) {
             self.finish.insert(id.clone());
         }
     }
@@ -322,18 +326,18 @@
         }
         let (index, at) = job.record.plan.as_ref()?.slice_of(key.1);
         let part = job.part_of(index)?;
-        job.slices[index].want.as_ref()?.tasks.get(at)?;
+        job.slices[index].want()?.tasks.get(at)?;
         Some((job, part, index, at))
     }
 
     pub(super) fn wanted(&self, key: &TaskKey) -> Option<&TaskRecord> {
         let (job, _, index, at) = self.task(key)?;
-        job.slices[index].want.as_ref()?.tasks.get(at)
+        job.slices[index].want()?.tasks.get(at)
     }
 
     pub(super) fn durable(&self, key: &TaskKey) -> Option<&TaskRecord> {
         let (job, _, index, at) = self.task(key)?;
-        job.slices[index].held.record.as_ref()?.tasks.get(at)
+        job.slices[index].record()?.tasks.get(at)
     }
 
     /// Changes what is wanted of a task, keeping the part's indexes; the next
@@ -342,8 +346,7 @@
         let Some((_, part, index, at)) = self.task(key) else { return };
         let Some(job) = self.view.jobs.get_mut(&key.0) else { return };
         let Some(mine) = self.mine.get_mut(&part) else { return };
-        let Some(slot) = job.slices[index].want.as_mut().and_then(|w| w.tasks.get_mut(at)) else { return };
-        let from = std::mem::replace(slot, to.clone());
+        let Some(from) = job.slices[index].set_task(at, to.clone()) else { return };
         if let TaskRecord::On(_, machine) = &from {
             if let Some(set) = mine.on.get_mut(machine) {
                 set.remove(key);
@@ -428,14 +431,17 @@
                 break;
             }
             bytes += serde_json::to_vec(&change).map_or(0, |b| b.len()) + 200;
-            txn.conditions.push(Condition { key: slice_key(&id, index), version: job.slices[index].held.version });
+            txn.conditions.push(Condition { key: slice_key(&id, index), version: job.slices[index].held().version });
             if jobs.insert(id.clone()) {
                 txn.conditions.push(Condition { key: job_key(&id), version: job.version });
             }
             let last = job.record.end.is_none()
                 && job.slices.iter().enumerate().all(|(at, s)| {
-                    let record = if at == index { s.want.as_ref() } else { s.held.record.as_ref() };
-                    record.is_some_and(SliceRecord::is_done)
+                    if at == index {
+                        s.want().is_some_and(SliceRecord::is_done)
+                    } else {
+                        s.is_done()
+                    }
                 });
             if last && !self.busy_keys.contains(&job_key(&id)) {
                 // Done with its last slice: the slice need not be kept.
@@ -444,7 +450,7 @@
                     bytes += 800;
                     txn.changes.push(Change::put(job_key(&id), value));
                     // While writes are scarce, clearing away is left for later.
-                    if job.slices[index].held.record.is_some() && !thrifty {
+                    if job.slices[index].record().is_some() && !thrifty {
                         txn.changes.push(Change::delete(slice_key(&id, index)));
                     }
                 }
@@ -458,6 +464,8 @@
             mine.dirty.remove(key);
         }
         if txn.changes.is_empty() {
+            // All of it can wait for writes: not to be weighed at every input.
+            mine.retry_at = self.now + Span(20);
             return;
         }
         self.reads.force(self.now, 1.0);
@@ -599,11 +607,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::bookkeeping::view::Held;
 
     fn slice(held: &[TaskRecord], want: &[TaskRecord]) -> Slice {
         let record = |tasks: &[TaskRecord]| Some(SliceRecord { tasks: tasks.to_vec() });
-        Slice { held: Held { record: record(held), ..Held::default() }, want: record(want) }
+        let mut slice = Slice::known(Revision(1), record(held));
+        slice.set_want(record(want));
+        slice
     }
 
     /// Starts waited seconds behind exits for the part's share of writes.
--- a/src/coordination/preempting.rs
+++ b/src/coordination/preempting.rs
@@ -3,47 +3,67 @@
 
 use super::openings::{fits, shift};
 use super::part::TaskKey;
-use super::rounds::{needs, Short};
+use super::rounds::Short;
+use super::seats::needs;
 use super::*;
 use crate::bookkeeping::view::Job;
 use crate::protocol::users::Priority;
 
 /// Tasks stopped in one round at the most.
 const MOST_STOPS: usize = 24;
+/// Jobs that room is made for in one round at the most.
+const MOST_CLAIMS: usize = 32;
 /// A task that ends within this time is not worth stopping.
 const NEARLY_DONE_S: f64 = 5.0;
 /// How long a team within its guarantee waits for room before it is made.
 const TAKE_BACK_S: f64 = 20.0;
 
 /// A task that may be stopped for another.
-struct Victim {
-    key: TaskKey,
+struct Victim<'a> {
+    key: &'a TaskKey,
     /// Work that stopping it loses, in core seconds.
     loss: f64,
     priority: Priority,
+    team: &'a str,
+    /// Within its own team's guarantee.
+    guaranteed: bool,
     grace_s: f64,
     need: [f64; 3],
+    /// Chosen for another job already.
+    taken: bool,
+}
+
+impl Victim<'_> {
+    /// True if it has to make room for a job, which is within its guarantee or not.
+    fn yields_to(&self, claimant: &Job, within: bool) -> bool {
+        let spec = &claimant.record.spec;
+        let lesser = self.priority < spec.priority;
+        // Borrowed beyond the other team's own guarantee.
+        let borrowed = within && self.team != spec.team && !self.guaranteed;
+        !self.taken && (lesser || borrowed)
+    }
 }
 
 impl Core {
     /// Stops lesser tasks where that lets waiting tasks start sooner.
-    pub(super) fn make_room(&mut self, part: PartId, short: &[Short]) {
+    pub(super) fn make_room(&mut self, part: PartId, short: &[Short], guaranteed: &BTreeSet<JobRef>) {
+        let worth = |lack: &&Short| {
+            let job = self.view.jobs.get(&lack.job);
+            job.is_some_and(|job| self.worth_stopping_for(job, lack.wait_s, guaranteed.contains(&lack.job)))
+        };
+        let short: Vec<&Short> = short.iter().filter(worth).take(MOST_CLAIMS).collect();
         if short.is_empty() {
             return;
         }
-        let guaranteed = self.guaranteed_jobs();
         let mut stops: Vec<(TaskKey, f64)> = vec![];
-        let mut coming: Vec<[f64; 3]> = vec![];
         let seats = self.seats(part);
-        for seat in &seats {
-            coming.push(self.room_coming(part, seat.name, seat.openings.free));
-        }
+        let mut coming: Vec<[f64; 3]> =
+            seats.iter().map(|seat| self.room_coming(part, seat.name, seat.openings.free)).collect();
+        // Looked up once for all that claim room, not for each of them.
+        let mut victims: Vec<Vec<Victim>> = seats.iter().map(|s| self.victims(part, s.name, guaranteed)).collect();
         for lack in short {
             let Some(job) = self.view.jobs.get(&lack.job) else { continue };
             let within = guaranteed.contains(&lack.job);
-            if !self.worth_stopping_for(job, lack.wait_s, within) {
-                continue;
-            }
             let need = needs(&job.record);
             let spread = self.spread(part, &lack.job, job);
             for _ in 0..lack.tasks {
@@ -52,26 +72,28 @@
                 }
                 let allowed = |at: &usize| self.allowed(job, &seats[*at], &spread);
                 // Room that is free or on its way already serves first.
-                if let Some(at) = (0..seats.len()).filter(allowed).find(|at| fits(&coming[*at], &need)) {
+                if let Some(at) = (0..seats.len()).filter(|at| fits(&coming[*at], &need)).find(allowed) {
                     shift(&mut coming[at], &need, -1.0);
                     continue;
                 }
                 let best = (0..seats.len())
                     .filter(allowed)
                     .filter_map(|at| {
-                        let victims = self.victims(part, seats[at].name, job, within, &guaranteed, &stops);
-                        cheapest(victims, coming[at], &need).map(|(loss, chosen)| (loss, at, chosen))
+                        let chosen = cheapest(&victims[at], coming[at], &need, |v| v.yields_to(job, within))?;
+                        Some((chosen.0, at, chosen.1))
                     })
                     .min_by(|a, b| a.0.total_cmp(&b.0));
                 let Some((_, at, chosen)) = best else { break };
-                for victim in chosen {
+                for index in chosen {
+                    let victim = &mut victims[at][index];
+                    victim.taken = true;
                     shift(&mut coming[at], &victim.need, 1.0);
-                    stops.push((victim.key, victim.grace_s));
+                    stops.push((victim.key.clone(), victim.grace_s));
                 }
                 shift(&mut coming[at], &need, -1.0);
             }
         }
-        drop(seats);
+        drop((victims, seats));
         if let Some(mine) = self.mine.get_mut(&part) {
             for (key, grace_s) in stops {
                 tracing::debug!("stopping {}/{} to make room", key.0, key.1);
@@ -107,56 +129,52 @@
         free
     }
 
-    fn victims(
-        &self,
-        part: PartId,
-        machine: &MachineId,
-        claimant: &Job,
-        within: bool,
-        guaranteed: &BTreeSet<JobRef>,
-        stops: &[(TaskKey, f64)],
-    ) -> Vec<Victim> {
+    /// Tasks of a machine that may be stopped at all: the lowest priority and
+    /// the least loss first.
+    fn victims(&self, part: PartId, machine: &MachineId, guaranteed: &BTreeSet<JobRef>) -> Vec<Victim<'_>> {
         let Some(mine) = self.mine.get(&part) else { return vec![] };
         let mut victims = vec![];
-        for key in mine.on.get(machine).into_iter().flatten() {
-            if mine.stopping.contains_key(key) || stops.iter().any(|(k, _)| k == key) {
-                continue;
-            }
+        for key in mine.on.get(machine).into_iter().flatten().filter(|k| !mine.stopping.contains_key(*k)) {
             let Some(job) = self.view.jobs.get(&key.0) else { continue };
             let spec = &job.record.spec;
-            let lesser = spec.priority < claimant.record.spec.priority;
-            // Borrowed beyond the other team's own guarantee.
-            let borrowed = within && spec.team != claimant.record.spec.team && !guaranteed.contains(&key.0);
-            if !(lesser || borrowed) || self.rest_of(mine, job, key) < NEARLY_DONE_S {
+            if self.rest_of(mine, job, key) < NEARLY_DONE_S {
                 continue;
             }
             let ran = mine.running_since.get(key).map_or(0.0, |at| self.now.since(*at).as_secs());
             let saves = spec.checkpoint_s > 0.0 && ran > 1.0;
             victims.push(Victim {
-                key: key.clone(),
+                key,
                 loss: if saves { spec.save_s } else { ran } * spec.cpus + 1.0,
                 priority: spec.priority,
+                team: &spec.team,
+                guaranteed: guaranteed.contains(&key.0),
                 grace_s: if saves { spec.save_s.max(1.0) * 1.5 } else { 0.0 },
                 need: needs(&job.record),
+                taken: false,
             });
         }
+        victims.sort_by(|a, b| a.priority.cmp(&b.priority).then(a.loss.total_cmp(&b.loss)));
         victims
     }
 }
 
-/// The victims whose end makes room at the least loss, the lowest priority
-/// first; none if all of them together do not.
-fn cheapest(mut victims: Vec<Victim>, mut room: [f64; 3], need: &[f64; 3]) -> Option<(f64, Vec<Victim>)> {
-    victims.sort_by(|a, b| a.priority.cmp(&b.priority).then(a.loss.total_cmp(&b.loss)));
+/// Of victims in their order, those whose end makes room, and what that loses;
+/// none if all of them together do not.
+fn cheapest(
+    victims: &[Victim],
+    mut room: [f64; 3],
+    need: &[f64; 3],
+    yields: impl Fn(&Victim) -> bool,
+) -> Option<(f64, Vec<usize>)> {
     let mut chosen = vec![];
     let mut loss = 0.0;
-    for victim in victims {
+    for (index, victim) in victims.iter().enumerate().filter(|(_, v)| yields(v)) {
         if fits(&room, need) {
             break;
         }
         shift(&mut room, &victim.need, 1.0);
         loss += victim.loss;
-        chosen.push(victim);
+        chosen.push(index);
     }
     fits(&room, need).then_some((loss, chosen))
 }
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -1,5 +1,8 @@
 //! In which order jobs are served.
 
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
 /// A job with work left, as the queue sees it.
 pub(super) struct Contender<R, I> {
     /// Less goes first, whatever the time.
@@ -14,6 +17,27 @@
     pub id: I,
 }
 
+/// A job that can still be in time; the one with most work is the greatest.
+#[derive(PartialEq)]
+struct Kept {
+    work: f64,
+    at: usize,
+}
+
+impl Eq for Kept {}
+
+impl Ord for Kept {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.work.total_cmp(&other.work).then(self.at.cmp(&other.at))
+    }
+}
+
+impl PartialOrd for Kept {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 /// A little lateness is forgiven: estimates are not that good.
 const GRACE_S: f64 = 5.0;
 
@@ -29,7 +53,7 @@
     let mut start = 0;
     while start < queue.len() {
         let end = start + queue[start..].iter().take_while(|c| c.rank == queue[start].rank).count();
-        let mut kept: Vec<usize> = vec![];
+        let mut kept: BinaryHeap<Kept> = BinaryHeap::new();
         let mut work = before;
         for at in start..end {
             let c = &queue[at];
@@ -37,15 +61,13 @@
                 late[at] = true;
                 continue;
             }
-            kept.push(at);
+            kept.push(Kept { work: c.work, at });
             work += c.work;
             // The last of its tasks begin when nearly all before is done.
             if cpus > 0.0 && work / cpus + 0.25 * c.run_s > c.left_s + GRACE_S {
-                let largest = (0..kept.len()).max_by(|a, b| queue[kept[*a]].work.total_cmp(&queue[kept[*b]].work));
-                if let Some(index) = largest {
-                    let gone = kept.remove(index);
-                    work -= queue[gone].work;
-                    late[gone] = true;
+                if let Some(largest) = kept.pop() {
+                    work -= largest.work;
+                    late[largest.at] = true;
                 }
             }
         }
--- /dev/null
+++ b/src/coordination/seats.rs
@@ -0,0 +1,245 @@
+//! Machines as one placement round sees them, and which of them is the best
+//! for a task: the one of least expected completion.
+
+use super::openings::Openings;
+use super::part::Machine;
+use super::scoring::{expected_completion, Prospect};
+use super::*;
+use crate::bookkeeping::lifetimes::History;
+use crate::bookkeeping::records::JobRecord;
+use crate::bookkeeping::view::Job;
+use crate::protocol::users::JobKind;
+use crate::protocol::workers::TaskState;
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+/// Expected completions that differ by less than this share of the run time
+/// count as equal.
+const NEAR: f64 = 0.08;
+
+/// A service never ends: what it takes is not freed within any plan.
+const FOR_EVER_S: f64 = 1e9;
+
+/// A machine as one round sees it.
+#[derive(Clone)]
+pub(super) struct Seat<'a> {
+    pub name: &'a MachineId,
+    pub machine: &'a Machine,
+    pub type_: &'a MachineType,
+    history: Option<&'a History>,
+    age_s: f64,
+    /// Price per core.
+    price: f64,
+    pub openings: Openings,
+}
+
+/// Cores, GPUs and memory that a task of the job takes.
+pub(super) fn needs(record: &JobRecord) -> [f64; 3] {
+    [record.spec.cpus, record.spec.gpus, record.spec.mem_gb]
+}
+
+/// Where a job's tasks are, for those that must stay together or apart.
+#[derive(Default)]
+pub(super) struct Spread {
+    pub by_zone: BTreeMap<String, usize>,
+    unknown: bool,
+}
+
+/// A seat for tasks of one job; the least is the best.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Candidate {
+    /// Rounded score, price, free cores, and the place among seats.
+    rank: (f64, f64, f64),
+    pub seat: usize,
+    /// Time until there is room, in seconds.
+    pub wait_s: f64,
+    /// Time the task will hold its room, in seconds.
+    pub hold_s: f64,
+}
+
+impl Ord for Candidate {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let (a, b) = (&self.rank, &other.rank);
+        // Turned round: the heap's greatest is the seat of least rank.
+        b.0.total_cmp(&a.0).then(b.1.total_cmp(&a.1)).then(b.2.total_cmp(&a.2)).then(other.seat.cmp(&self.seat))
+    }
+}
+
+impl PartialOrd for Candidate {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Candidate {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Candidate {}
+
+/// What all tasks of a job have in common for one round.
+pub(super) struct Claim<'a> {
+    pub job: &'a Job,
+    pub need: [f64; 3],
+    run_s: f64,
+    quick: bool,
+}
+
+impl<'a> Claim<'a> {
+    pub fn quick(&self) -> bool {
+        self.quick
+    }
+
+    /// Time to fetch the job's image, if the machine lacks it.
+    fn fetch_s(&self, seat: &Seat) -> f64 {
+        let spec = &self.job.record.spec;
+        let there = seat.machine.images.iter().any(|(name, _)| *name == spec.image);
+        if there || seat.type_.fetch_gb_per_s <= 0.0 {
+            0.0
+        } else {
+            spec.image_gb / seat.type_.fetch_gb_per_s
+        }
+    }
+}
+
+impl Core {
+    pub(super) fn claim<'a>(&self, job: &'a Job) -> Claim<'a> {
+        let spec = &job.record.spec;
+        Claim {
+            job,
+            need: needs(&job.record),
+            run_s: self.learned.run_time(&spec.class, spec.estimate_s),
+            quick: self.wants_quick_start(&spec.class),
+        }
+    }
+
+    pub(super) fn seats<'a>(&'a self, part: PartId) -> Vec<Seat<'a>> {
+        let Some(mine) = self.mine.get(&part) else { return vec![] };
+        let quiet = Span(self.timing.worker_lease.0 / 3);
+        let mut seats = Vec::with_capacity(mine.machines.len());
+        for (name, machine) in &mine.machines {
+            let Some(type_) = self.catalog.get(&machine.kind) else { continue };
+            let usable = !machine.faulty
+                && machine.notice.is_none()
+                && self.now >= machine.rests_until
+                && self.now.since(machine.last_report) < quiet
+                && !self.draining(name);
+            if !usable {
+                continue;
+            }
+            let mut openings = Openings::new([type_.cpus, type_.gpus, type_.mem_gb]);
+            let known = mine.on.get(name);
+            // Tasks of one job follow one another: it is looked up once.
+            let mut last: Option<(&JobRef, Option<(&Job, f64)>)> = None;
+            for key in known.into_iter().flatten() {
+                let found = match last {
+                    Some((id, found)) if *id == key.0 => found,
+                    _ => {
+                        let found = self.view.jobs.get(&key.0).map(|job| {
+                            let spec = &job.record.spec;
+                            (job, self.learned.run_time(&spec.class, spec.estimate_s))
+                        });
+                        last = Some((&key.0, found));
+                        found
+                    }
+                };
+                let Some((job, run_s)) = found else { continue };
+                let ends = job.record.spec.kind != JobKind::Standing;
+                openings.hold(&needs(&job.record), ends.then(|| self.rest_after(mine, run_s, key)));
+            }
+            // Tasks on the machine that nobody wants there still take room.
+            for (key, (_, state, _)) in &machine.listed {
+                if *state != TaskState::Exited && !known.is_some_and(|k| k.contains(key)) {
+                    if let Some(job) = self.view.jobs.get(&key.0) {
+                        openings.hold(&needs(&job.record), None);
+                    }
+                }
+            }
+            openings.settle();
+            let age_s = self.now.since(machine.born).as_secs();
+            let price = if machine.spot { type_.spot_price.unwrap_or(type_.price) } else { type_.price };
+            let price = price / type_.cpus.max(1e-6);
+            let history = self.learned.history(machine).filter(|_| self.tuning.use_lifetimes);
+            seats.push(Seat { name, machine, type_, history, age_s, price, openings });
+        }
+        seats
+    }
+
+    pub(super) fn spread(&self, part: PartId, id: &JobRef, job: &Job) -> Spread {
+        let mut spread = Spread::default();
+        if !job.record.spec.one_zone && !job.record.spec.apart {
+            return spread;
+        }
+        let Some(mine) = self.mine.get(&part) else { return spread };
+        for (machine, tasks) in &mine.on {
+            let here = tasks.iter().filter(|t| t.0 == *id).count();
+            match mine.machines.get(machine) {
+                _ if here == 0 => {}
+                Some(m) => *spread.by_zone.entry(m.zone.clone()).or_default() += here,
+                // Where some of its tasks are is not known yet: wait.
+                None => spread.unknown = true,
+            }
+        }
+        spread
+    }
+
+    /// All seats that a job's tasks may take, the best on top. Each is scored
+    /// once; a seat that was booked is scored again and put back, so that many
+    /// tasks of a job cost little more than one.
+    pub(super) fn candidates(
+        &self,
+        seats: &[Seat],
+        claim: &Claim,
+        spread: &Spread,
+        open: impl Fn(&Seat) -> bool,
+    ) -> BinaryHeap<Candidate> {
+        if spread.unknown {
+            return BinaryHeap::new();
+        }
+        let fit = |(_, seat): &(usize, &Seat)| open(seat) && self.allowed(claim.job, seat, spread);
+        let seats = seats.iter().enumerate().filter(fit);
+        seats.filter_map(|(index, seat)| self.candidate(index, seat, claim)).collect()
+    }
+
+    /// How good a seat is for the job's next task; none if it never has room.
+    pub(super) fn candidate(&self, index: usize, seat: &Seat, claim: &Claim) -> Option<Candidate> {
+        let spec = &claim.job.record.spec;
+        let wait_s = seat.openings.wait(&claim.need)?;
+        let service = spec.kind == JobKind::Standing;
+        if wait_s > 0.0 && (service || !self.tuning.may_wait) {
+            return None;
+        }
+        if service {
+            // Services take the first fit.
+            return Some(Candidate { rank: (0.0, 0.0, 0.0), seat: index, wait_s, hold_s: FOR_EVER_S });
+        }
+        let fetch_s = claim.fetch_s(seat);
+        let run_s = claim.run_s;
+        let prospect = Prospect { age_s: seat.age_s, wait_s: wait_s + fetch_s, run_s, checkpoint_s: spec.checkpoint_s };
+        let score = match seat.history {
+            Some(history) => expected_completion(history, prospect),
+            None => prospect.wait_s + run_s,
+        };
+        if !score.is_finite() {
+            return None;
+        }
+        // Among near equals the cheapest, then the fullest, so that others
+        // can be given back.
+        let near = if claim.quick { 0.3 } else { 0.5 + run_s * NEAR };
+        let rank = ((score / near).round(), (seat.price * 1000.0).round(), seat.openings.free[0]);
+        Some(Candidate { rank, seat: index, wait_s, hold_s: run_s + fetch_s })
+    }
+
+    pub(super) fn allowed(&self, job: &Job, seat: &Seat, spread: &Spread) -> bool {
+        let spec = &job.record.spec;
+        let zone = &seat.machine.zone;
+        let half = spec.tasks.div_ceil(2) as usize;
+        spec.types.as_ref().is_none_or(|types| types.contains(&seat.machine.kind))
+            && spec.zone.as_ref().is_none_or(|z| z == zone)
+            && (spec.spot || !seat.machine.spot)
+            && (!spec.one_zone || spread.by_zone.keys().all(|z| z == zone))
+            && (!spec.apart || spread.by_zone.get(zone).copied().unwrap_or(0) < half)
+    }
+}
--- a/src/coordination/withdrawing.rs
+++ b/src/coordination/withdrawing.rs
@@ -46,10 +46,13 @@
         let owned = self.mine.values().map(|m| m.since).max();
         let heard = self.withdrawal.heard.max(owned).unwrap_or(self.now).max(self.resumed);
         let silent = self.now.since(heard) > quiet;
+        if !silent {
+            return false;
+        }
         let names = self.mine.values().flat_map(|m| m.on.keys().chain(m.machines.keys()));
         let machines = names.collect::<BTreeSet<_>>().len();
         let others = self.view.live().filter(|(node, _)| **node != self.me && self.heard_for(node, quiet)).count();
-        silent && machines >= LEAST_MACHINES && others > 0 && self.state_fresh()
+        machines >= LEAST_MACHINES && others > 0 && self.state_fresh()
     }
 
     pub(super) fn tend_withdrawal(&mut self) {
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -14,10 +14,146 @@
     Attempt, CallId, JobRef, LeaseId, MachineId, NodeName, RequestId, Revision, Seq, Session, Time, Token,
 };
 
-pub const LEASE_MS: u64 = 10_000;
-pub const CANCEL_MS: u64 = 40_000;
-const REPORT_MS: u64 = 1000;
-const ZONES: [&str; 2] = ["a", "b"];
+/// How large a world is, and its limits.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    pub nodes: usize,
+    pub zones: Vec<String>,
+    /// Machines that the cloud has in all.
+    pub machines: usize,
+    /// Of these, up and reporting from the start.
+    pub up: usize,
+    pub types: Vec<MachineType>,
+    pub report_ms: u64,
+    pub lease_ms: u64,
+    pub cancel_ms: u64,
+    /// Requests and changes a second that the state service takes; the rest it
+    /// refuses if `strict`.
+    pub rps: f64,
+    pub write_rps: f64,
+    pub strict: bool,
+    /// Items of one page of a list.
+    pub page: usize,
+    pub teams: serde_json::Value,
+}
+
+fn machine_type(name: &str, cpus: f64, mem_gb: f64, zones: &[String]) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        mem_gb,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: cpus / 8.0,
+        spot_price: Some(cpus / 20.0),
+        boot_s: 5.0,
+        zones: zones.to_vec(),
+    }
+}
+
+impl Shape {
+    /// Three controllers, two zones and a dozen machines.
+    pub fn small() -> Shape {
+        let zones = vec!["a".to_string(), "b".to_string()];
+        Shape {
+            nodes: 3,
+            machines: 14,
+            up: 0,
+            types: vec![machine_type("m8", 8.0, 32.0, &zones)],
+            zones,
+            report_ms: 1000,
+            lease_ms: 10_000,
+            cancel_ms: 40_000,
+            rps: 400.0,
+            write_rps: 200.0,
+            strict: false,
+            page: 50,
+            teams: serde_json::json!([{"name": "red", "cpus": 8.0, "cpus_max": 24.0}, {"name": "blue", "cpus_max": 0.0}]),
+        }
+    }
+
+    /// As many machines as asked for, of three sizes, half of them up at the start.
+    pub fn fleet(nodes: usize, zones: usize, machines: usize) -> Shape {
+        let zones: Vec<String> = (0..zones).map(|n| format!("z{n}")).collect();
+        Shape {
+            nodes,
+            machines,
+            up: machines / 2,
+            types: vec![
+                machine_type("m8", 8.0, 32.0, &zones),
+                machine_type("m16", 16.0, 64.0, &zones),
+                machine_type("m64", 64.0, 256.0, &zones),
+            ],
+            zones,
+            report_ms: 3000,
+            lease_ms: 17_500,
+            cancel_ms: 47_500,
+            rps: 0.8 * machines as f64,
+            write_rps: 0.33 * machines as f64,
+            strict: true,
+            page: 1000,
+            teams: serde_json::json!([{"name": "red", "cpus": 500.0, "cpus_max": 2500.0}, {"name": "blue", "cpus_max": 0.0}]),
+        }
+    }
+}
+
+/// Processor time that the controllers' cores took for inputs of one kind.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Cost {
+    pub count: u64,
+    pub nanos: u64,
+    pub most: u64,
+}
+
+impl Cost {
+    fn add(&mut self, nanos: u64) {
+        self.count += 1;
+        self.nanos += nanos;
+        self.most = self.most.max(nanos);
+    }
+}
+
+/// What costs are counted under.
+fn kind_of(input: &Input) -> &'static str {
+    match input {
+        Input::Tick => "tick",
+        Input::User(..) => "question",
+        Input::Report(..) => "report",
+        Input::State(_, StateAnswer::Events(_)) => "watch",
+        Input::State(_, StateAnswer::Page(_)) => "page",
+        Input::State(..) => "state",
+        Input::Cloud(..) => "cloud",
+        Input::Note(_) => "note",
+    }
+}
+
+/// Refills with time, one second's worth at the most.
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    per_s: f64,
+    level: f64,
+    at: u64,
+}
+
+impl Bucket {
+    fn new(per_s: f64) -> Bucket {
+        Bucket { per_s, level: per_s, at: 0 }
+    }
+
+    fn take(&mut self, now: u64, cost: f64) -> bool {
+        self.level = (self.level + self.per_s * now.saturating_sub(self.at) as f64 / 1000.0).min(self.per_s);
+        self.at = self.at.max(now);
+        let fits = self.level >= cost;
+        if fits {
+            self.level -= cost;
+        }
+        fits
+    }
+}
+
+/// Changes that the state service remembers for watches.
+const MOST_CHANGES: usize = 10_000;
 
 /// What goes wrong, and when (milliseconds).
 #[derive(Debug, Clone)]
@@ -100,6 +236,11 @@
     leases: BTreeMap<u64, (u64, u64)>,
     last_lease: u64,
     log: Vec<(u64, String, Option<serde_json::Value>)>,
+    /// Limits on requests and on changes, if it keeps any.
+    buckets: Option<(Bucket, Bucket)>,
+    /// Calls refused for being too many.
+    pub limited: usize,
+    page: usize,
     /// Changes asked for and requests made, by second.
     pub writes: BTreeMap<u64, usize>,
     pub requests: BTreeMap<u64, usize>,
@@ -153,6 +294,13 @@
     pub fn run(&mut self, now: u64, call: StateCall) -> StateAnswer {
         self.expire(now);
         *self.requests.entry(now / 1000).or_default() += 1;
+        let changes = if let StateCall::Txn(txn) = &call { txn.changes.len() } else { 0 };
+        if let Some((requests, writes)) = &mut self.buckets {
+            if !requests.take(now, 1.0) || !writes.take(now, changes as f64) {
+                self.limited += 1;
+                return StateAnswer::Refused;
+            }
+        }
         match call {
             StateCall::Get { key } => match self.rows.get(&key) {
                 Some((value, version, _)) => {
@@ -161,15 +309,16 @@
                 None => StateAnswer::Missing(Revision(self.revision)),
             },
             StateCall::List { prefix, after } => {
-                let after = after.unwrap_or_default();
-                let rows = self.rows.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+                let page = self.page.max(50);
+                let from = std::ops::Bound::Excluded(after.unwrap_or_default());
+                let rows = self.rows.range((from, std::ops::Bound::Unbounded)).filter(|(k, _)| k.starts_with(&prefix));
                 let items: Vec<Item> = rows
-                    .take(51)
+                    .take(page + 1)
                     .map(|(k, r)| Item { key: k.clone(), value: r.0.clone(), version: Revision(r.1) })
                     .collect();
-                let more = items.len() > 50;
+                let more = items.len() > page;
                 StateAnswer::Page(Page {
-                    items: items.into_iter().take(50).collect(),
+                    items: items.into_iter().take(page).collect(),
                     more,
                     revision: Revision(self.revision),
                 })
@@ -191,7 +340,11 @@
                 None => StateAnswer::LeaseGone,
             },
             StateCall::Watch { after, .. } => {
-                let events = self.log.iter().filter(|e| e.0 > after.0).map(|(at, key, value)| match value {
+                let from = self.log.partition_point(|e| e.0 <= after.0);
+                if self.log.len() - from > MOST_CHANGES {
+                    return StateAnswer::TooOld;
+                }
+                let events = self.log[from..].iter().map(|(at, key, value)| match value {
                     Some(value) => Changed::Put { put: key.clone(), value: value.clone(), version: Revision(*at) },
                     None => Changed::Delete { delete: key.clone(), version: Revision(*at) },
                 });
@@ -237,6 +390,7 @@
 }
 
 pub struct World {
+    shape: Shape,
     now: u64,
     order: u64,
     due: BinaryHeap<Reverse<(u64, u64)>>,
@@ -247,7 +401,14 @@
     pub state: StateService,
     workers: Vec<Worker>,
     rentals: BTreeMap<String, Vec<MachineId>>,
-    capacity: usize,
+    /// Workers that were ever told to start a task.
+    placed: BTreeMap<(JobRef, u32), Vec<usize>>,
+    /// The last second in which all workers were checked.
+    checked: u64,
+    /// The last second in which the use of teams was summed up.
+    summed: u64,
+    /// What the controllers' inputs cost, by kind.
+    pub costs: BTreeMap<&'static str, Cost>,
     pub jobs: BTreeMap<JobRef, Job>,
     requests: BTreeMap<(usize, RequestId), Asked>,
     last_request: u64,
@@ -274,21 +435,27 @@
     Worker(usize, u64),
 }
 
-pub fn settings(node: usize, lease_s: f64) -> Settings {
+fn settings(shape: &Shape, node: usize, lease_s: f64) -> Settings {
     let addr = |n: usize| format!("127.0.0.1:{}", 1000 + n);
-    let known: Vec<serde_json::Value> = (0..3)
+    let domain = |n: usize| shape.zones[n % shape.zones.len()].clone();
+    let known: Vec<serde_json::Value> = (0..shape.nodes)
         .filter(|n| *n != node)
-        .map(|n| serde_json::json!({"label": format!("n{n}"), "domain": "a", "address": addr(n)}))
+        .map(|n| serde_json::json!({"label": format!("n{n}"), "domain": domain(n), "address": addr(n)}))
         .collect();
     serde_json::from_value(serde_json::json!({
-        "label": format!("n{node}"), "domain": "a", "client_listen": addr(10 + node), "internal_addr": addr(node),
-        "known": known, "external": {"cloud": addr(20), "state": addr(21)}, "unheard_of": 1,
+        "label": format!("n{node}"), "domain": domain(node),
+        "client_listen": addr(50 + node), "internal_addr": addr(node),
+        "known": known, "external": {"cloud": addr(90), "state": addr(91)}, "unheard_of": 1,
         "cluster": {
-            "zones": ZONES,
-            "teams": [{"name": "red", "cpus": 8.0, "cpus_max": 24.0}, {"name": "blue", "cpus_max": 0.0}],
+            "zones": shape.zones,
+            "teams": shape.teams,
             "objectives": [],
-            "workers": {"report_s": 1.0, "lease_s": lease_s, "cancel_s": CANCEL_MS as f64 / 1000.0},
-            "state": {"rps": 400.0, "write_rps": 200.0, "value_kb": 8.0, "txn_ops": 12},
+            "workers": {
+                "report_s": shape.report_ms as f64 / 1000.0,
+                "lease_s": lease_s,
+                "cancel_s": shape.cancel_ms as f64 / 1000.0
+            },
+            "state": {"rps": shape.rps, "write_rps": shape.write_rps, "value_kb": 8.0, "txn_ops": 12},
             "cloud": {"rps": 5.0, "list_lag_s": 2.0},
             "quota": {"ram_mb": 56.0, "fd_limit": 800}
         }
@@ -299,23 +466,41 @@
 impl World {
     /// Three controllers; `lease_s` is what they are told of workers' leases.
     pub fn new(seed: u64, lease_s: f64) -> World {
+        World::shaped(seed, Shape::small(), lease_s)
+    }
+
+    /// A world as large as `shape` says, whose controllers are told the truth.
+    pub fn sized(seed: u64, shape: Shape) -> World {
+        let lease_s = shape.lease_ms as f64 / 1000.0;
+        World::shaped(seed, shape, lease_s)
+    }
+
+    fn shaped(seed: u64, shape: Shape, lease_s: f64) -> World {
+        let state = StateService {
+            buckets: shape.strict.then(|| (Bucket::new(shape.rps), Bucket::new(shape.write_rps))),
+            page: shape.page,
+            ..StateService::default()
+        };
         let mut world = World {
             now: 1000,
             order: 0,
             due: BinaryHeap::new(),
             what: BTreeMap::new(),
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
-            settings: (0..3).map(|n| settings(n, lease_s)).collect(),
+            settings: (0..shape.nodes).map(|n| settings(&shape, n, lease_s)).collect(),
             nodes: vec![],
-            state: StateService::default(),
+            state,
             workers: vec![],
             rentals: BTreeMap::new(),
-            capacity: 14,
+            placed: BTreeMap::new(),
+            checked: 0,
+            summed: 0,
+            costs: BTreeMap::new(),
             jobs: BTreeMap::new(),
             requests: BTreeMap::new(),
             last_request: 0,
-            state_out: vec![0; 3],
-            silent: vec![(0, 0); 3],
+            state_out: vec![0; shape.nodes],
+            silent: vec![(0, 0); shape.nodes],
             cuts: BTreeMap::new(),
             peers_cut: 0,
             slow_boots: (0, 1, 0),
@@ -324,14 +509,52 @@
             refused: 0,
             broken: vec![],
             starts: 0,
+            shape,
         };
-        for node in 0..3 {
+        for node in 0..world.shape.nodes {
             world.nodes.push(Node { core: None, life: 0, started: 0, still_until: 0 });
             world.at(world.now, Due::Restart(node));
         }
+        for index in 0..world.shape.up {
+            // More small ones than large ones, as fleets are.
+            let size = [0, 1, 0, 2, 0, 0, 1, 0, 1, 0][index % 10] % world.shape.types.len();
+            let kind = world.shape.types[size].name.clone();
+            let up_at = world.now + world.random(world.shape.report_ms);
+            world.add_worker(kind, index / 10 % world.shape.zones.len(), true, up_at);
+        }
         world
     }
 
+    fn add_worker(&mut self, kind: String, zone: usize, spot: bool, up_at: u64) -> MachineId {
+        let index = self.workers.len();
+        let name = MachineId::new(&format!("i-{index:06}"));
+        let node = self.random_node();
+        self.workers.push(Worker {
+            name: name.clone(),
+            kind,
+            zone,
+            spot,
+            rented: self.now,
+            up_at,
+            alive: true,
+            hung_until: 0,
+            faulty: false,
+            session: 1,
+            seq: 0,
+            token: 0,
+            node,
+            lease_from: up_at,
+            tasks: BTreeMap::new(),
+            flight: None,
+        });
+        self.at(up_at, Due::ReportTimer(index));
+        name
+    }
+
+    fn random_node(&mut self) -> usize {
+        self.random(self.shape.nodes as u64) as usize
+    }
+
     pub fn random(&mut self, below: u64) -> u64 {
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
@@ -431,7 +654,7 @@
     }
 
     fn ask(&mut self, ask: Ask, job: JobRef, what: &'static str, tries: u32) {
-        let node = self.random(3) as usize;
+        let node = self.random_node();
         if self.nodes[node].core.is_none() {
             return self.ask_again(job, what, tries);
         }
@@ -460,8 +683,11 @@
         let n = &mut self.nodes[node];
         let Some(core) = n.core.as_mut() else { return };
         // Steady clocks drift apart a little, and the time of day is off.
-        let steady = (self.now - n.started) * (100_000 + [0, 40, 25][node]) / 100_000 + 1;
-        let outputs = core.handle(Time(steady), self.now + 500 * node as u64, input);
+        let steady = (self.now - n.started) * (100_000 + [0, 40, 25][node % 3]) / 100_000 + 1;
+        let kind = kind_of(&input);
+        let began = std::time::Instant::now();
+        let outputs = core.handle(Time(steady), self.now + 500 * (node % 3) as u64, input);
+        self.costs.entry(kind).or_default().add(began.elapsed().as_nanos() as u64);
         let life = n.life;
         for output in outputs {
             match output {
@@ -473,7 +699,7 @@
                 }
                 Output::Cloud(id, call) => self.at(self.now + 80, Due::Cloud(node, life, id, call)),
                 Output::Tell(note) => {
-                    for peer in (0..3).filter(|p| *p != node) {
+                    for peer in (0..self.nodes.len()).filter(|p| *p != node) {
                         if self.now >= self.peers_cut && self.nodes[peer].core.is_some() {
                             let to = self.nodes[peer].life;
                             self.at(self.now + 2, Due::ToNode(peer, to, Input::Note(note.clone())));
@@ -513,27 +739,14 @@
 
     fn cloud_call(&mut self, call: CloudCall) -> CloudAnswer {
         match call {
-            CloudCall::Catalog => CloudAnswer::Catalog(Catalog {
-                types: vec![MachineType {
-                    name: "m8".into(),
-                    cpus: 8.0,
-                    gpus: 0.0,
-                    mem_gb: 32.0,
-                    cache_gb: 50.0,
-                    fetch_gb_per_s: 1.0,
-                    price: 1.0,
-                    spot_price: Some(0.4),
-                    boot_s: 5.0,
-                    zones: ZONES.iter().map(|z| z.to_string()).collect(),
-                }],
-            }),
+            CloudCall::Catalog => CloudAnswer::Catalog(Catalog { types: self.shape.types.clone() }),
             CloudCall::List { .. } => {
                 let machines = self.workers.iter().filter(|w| w.alive && self.now >= w.rented + 2000);
                 let machines = machines
                     .map(|w| Listed {
                         machine: w.name.clone(),
                         kind: w.kind.clone(),
-                        zone: ZONES[w.zone].into(),
+                        zone: self.shape.zones[w.zone].clone(),
                         spot: w.spot,
                         state: if self.now >= w.up_at { ListedState::Running } else { ListedState::Booting },
                         age_s: (self.now - w.rented) as f64 / 1000.0,
@@ -546,42 +759,21 @@
                     return CloudAnswer::Rented(MachineNames { machines: names.clone() });
                 }
                 let alive = self.workers.iter().filter(|w| w.alive).count();
-                let count = (request.count as usize).min(self.capacity.saturating_sub(alive));
+                let count = (request.count as usize).min(self.shape.machines.saturating_sub(alive));
                 if count == 0 {
                     return CloudAnswer::NoCapacity;
                 }
-                let zone = ZONES.iter().position(|z| *z == request.zone).expect("a zone of the catalog");
+                let zone = self.shape.zones.iter().position(|z| *z == request.zone).expect("a zone of the catalog");
                 let mut names = vec![];
                 for _ in 0..count {
                     let index = self.workers.len();
-                    let name = MachineId::new(&format!("i-{index:06}"));
-                    names.push(name.clone());
                     let boot = 2000 + self.random(6000);
                     let up_at = match self.slow_boots {
                         (until, ..) if self.now >= until => self.now + boot,
                         (_, _, never_each) if never_each > 0 && index % never_each == 0 => u64::MAX / 2,
                         (_, times, _) => self.now + boot * times,
                     };
-                    let node = self.random(3) as usize;
-                    self.workers.push(Worker {
-                        name,
-                        kind: request.kind.clone(),
-                        zone,
-                        spot: request.spot,
-                        rented: self.now,
-                        up_at,
-                        alive: true,
-                        hung_until: 0,
-                        faulty: false,
-                        session: 1,
-                        seq: 0,
-                        token: 0,
-                        node,
-                        lease_from: up_at,
-                        tasks: BTreeMap::new(),
-                        flight: None,
-                    });
-                    self.at(up_at, Due::ReportTimer(index));
+                    names.push(self.add_worker(request.kind.clone(), zone, request.spot, up_at));
                 }
                 self.rentals.insert(request.request, names.clone());
                 CloudAnswer::Rented(MachineNames { machines: names })
@@ -600,7 +792,7 @@
     fn live(&mut self, index: usize) {
         let now = self.now;
         let worker = &mut self.workers[index];
-        if now > worker.lease_from + LEASE_MS {
+        if now > worker.lease_from + self.shape.lease_ms {
             worker.session += 1;
             worker.lease_from = now;
             worker.tasks.clear();
@@ -628,17 +820,25 @@
         if !self.workers[index].alive {
             return;
         }
-        self.at(self.now + REPORT_MS * 3 / 4 + index as u64 % 7 * 60, Due::ReportTimer(index));
+        self.at(
+            self.now + self.shape.report_ms * 3 / 4 + index as u64 % 7 * (self.shape.report_ms * 3 / 50),
+            Due::ReportTimer(index),
+        );
         if self.now < self.workers[index].hung_until {
             return;
         }
         self.live(index);
-        self.check_cancelled();
+        // All of them at every report would cost the square of a large fleet.
+        if self.checked < self.now / 1000 || self.workers.len() < 100 {
+            self.checked = self.now / 1000;
+            self.check_cancelled();
+        }
         let now = self.now;
+        let nodes = self.nodes.len();
         let worker = &mut self.workers[index];
         match worker.flight {
             Some((_, sent)) if now < sent + 4000 => return,
-            Some(_) => worker.node = (worker.node + 1) % 3,
+            Some(_) => worker.node = (worker.node + 1) % nodes,
             None => {}
         }
         worker.seq += 1;
@@ -654,7 +854,7 @@
             machine: worker.name.clone(),
             addr: "127.0.0.1:1".into(),
             kind: worker.kind.clone(),
-            zone: ZONES[worker.zone].into(),
+            zone: self.shape.zones[worker.zone].clone(),
             spot: worker.spot,
             session: Session(worker.session),
             seq: Seq(worker.seq),
@@ -695,6 +895,7 @@
             return self.at(at, Due::Answer(index, flight, reply, session));
         }
         self.live(index);
+        let nodes = self.nodes.len();
         let worker = &mut self.workers[index];
         let Some((current, sent)) = worker.flight else { return };
         // Late answers, and those to an earlier session, are dropped.
@@ -714,9 +915,9 @@
                 }
             }
             Reply::Elsewhere(Some(node)) => {
-                worker.node = (0..3).find(|n| NodeName::new(&format!("n{n}")) == node).unwrap_or(0);
+                worker.node = (0..nodes).find(|n| NodeName::new(&format!("n{n}")) == node).unwrap_or(0);
             }
-            _ => worker.node = (worker.node + 1) % 3,
+            _ => worker.node = (worker.node + 1) % nodes,
         }
     }
 
@@ -758,26 +959,44 @@
     fn check_start(&mut self, index: usize, key: &(JobRef, u32)) {
         self.starts += 1;
         *self.tries.entry(key.0.clone()).or_default() += 1;
-        for other in 0..self.workers.len() {
-            // Workers act on their leases also while nobody looks.
+        // Workers act on their leases also while nobody looks.
+        let small = self.workers.len() < 100;
+        let before = self.placed.entry(key.clone()).or_default().clone();
+        let job_on: BTreeSet<usize> = match self.jobs.get(&key.0) {
+            Some(job) if job.spec.one_zone || job.spec.apart => {
+                let range = (key.0.clone(), 0)..=(key.0.clone(), u32::MAX);
+                self.placed.range(range).flat_map(|(_, on)| on.iter().copied()).collect()
+            }
+            _ => BTreeSet::new(),
+        };
+        // The team's use is summed over all workers: in a large world once a second.
+        let sum_up = small || self.summed < self.now / 1000;
+        let all = if sum_up { 0..self.workers.len() } else { 0..0 };
+        if sum_up {
+            self.summed = self.now / 1000;
+        }
+        for other in all.chain(before.iter().copied()).chain(job_on.iter().copied()).collect::<Vec<_>>() {
             self.live(other);
         }
         let running = |w: &Worker| w.tasks.get(key).is_some_and(|t| t.state != TaskState::Exited);
-        let twice = self.workers.iter().enumerate().any(|(at, w)| at != index && w.alive && running(w));
+        let twice = before.iter().any(|at| *at != index && self.workers[*at].alive && running(&self.workers[*at]));
         if twice {
             self.broken.push(format!("ran_twice: {}/{} at {}", key.0, key.1, self.now));
         }
+        if !before.contains(&index) {
+            self.placed.entry(key.clone()).or_default().push(index);
+        }
         let Some(job) = self.jobs.get(&key.0) else {
             return self.broken.push(format!("invented start: {}", key.0));
         };
         let spec = &job.spec;
         let worker = &self.workers[index];
-        let zone_ok = spec.zone.as_deref().is_none_or(|z| z == ZONES[worker.zone]);
+        let zone_ok = spec.zone.as_deref().is_none_or(|z| z == self.shape.zones[worker.zone]);
         if !zone_ok || (worker.spot && !spec.spot) {
             self.broken.push(format!("wrong_place: {}/{} at {}", key.0, key.1, self.now));
         }
         let zones = |of: &JobRef| -> Vec<usize> {
-            let live = self.workers.iter().filter(|w| w.alive);
+            let live = job_on.iter().map(|at| &self.workers[*at]).filter(|w| w.alive);
             live.flat_map(|w| {
                 w.tasks.iter().filter(|(k, t)| k.0 == *of && t.state != TaskState::Exited).map(|_| w.zone)
             })
@@ -790,7 +1009,7 @@
             self.broken.push(format!("wrong_place by zone: {}/{} at {}", key.0, key.1, self.now));
         }
         let limit = self.settings[0].cluster.teams.iter().find(|t| t.name == spec.team).map_or(0.0, |t| t.cpus_max);
-        if limit > 0.0 {
+        if limit > 0.0 && sum_up {
             let cpus: f64 = self
                 .workers
                 .iter()
@@ -803,7 +1022,7 @@
                 self.broken.push(format!("quota: {} of {limit} at {}", cpus + spec.cpus, self.now));
             }
         }
-        if job.cancel_told.is_some_and(|at| self.now > at + CANCEL_MS) {
+        if job.cancel_told.is_some_and(|at| self.now > at + self.shape.cancel_ms) {
             self.broken.push(format!("ran_cancelled: {}/{} starts at {}", key.0, key.1, self.now));
         }
     }
@@ -817,7 +1036,7 @@
         for worker in self.workers.iter().filter(|w| w.alive) {
             for (key, task) in &worker.tasks {
                 let told = self.jobs.get(&key.0).and_then(|j| j.cancel_told);
-                if task.state != TaskState::Exited && told.is_some_and(|at| self.now > at + CANCEL_MS) {
+                if task.state != TaskState::Exited && told.is_some_and(|at| self.now > at + self.shape.cancel_ms) {
                     self.broken.push(format!("ran_cancelled: {}/{} at {}", key.0, key.1, self.now));
                 }
             }
@@ -891,7 +1110,8 @@
             Fault::StateOutage { node: Some(node), for_ms } => self.state_out[node] = now + for_ms,
             Fault::StateSilence { node, for_ms, late } => self.silent[node] = (now + for_ms, late),
             Fault::Cut { node, zone, for_ms, hold } => {
-                for zone in if zone < ZONES.len() { zone..zone + 1 } else { 0..ZONES.len() } {
+                let zones = self.shape.zones.len();
+                for zone in if zone < zones { zone..zone + 1 } else { 0..zones } {
                     self.cuts.insert((node, zone), (now + for_ms, hold));
                 }
             }
