Short nudges between controllers, cheaper messages, a leader's room by part

Need: most of what controllers told one another was the leader's list of ages, sent with every nudge; a record of machines on their way out could outgrow a value at some 700 machines, and was then refused for ever.

Change: a nudge carries a revision only; ages of all machines every fourth note; socket time-outs are set only when they change; events and task names are read in one pass; the leader keeps room by part; the record of drained machines keeps to what a value holds.

--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -98,6 +98,14 @@
     (jobs.iter().map(|(cpus, run)| cpus * cpus * run).sum::<f64>() / time.max(1.0)).sqrt()
 }
 
+/// Machines on their way out that a record of `value_kb` KiB holds, beside
+/// those that are gone.
+fn most_named(value_kb: f64) -> usize {
+    /// Bytes of a name with quotes and comma, with room to spare.
+    const NAME_BYTES: f64 = 24.0;
+    ((value_kb * 1024.0 * 0.9 / NAME_BYTES) as usize).saturating_sub(MOST_GONE).max(1)
+}
+
 impl Fleet {
     /// A standstill of this node is no idleness or absence of machines.
     pub(super) fn stood_still(&mut self, gap: Span) {
@@ -263,38 +271,20 @@
     }
 
     /// Machines that a task may be on.
-    fn busy_machines(&self) -> BTreeSet<MachineId> {
-        let mut busy = BTreeSet::new();
-        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).filter(|j| j.holds_machines()) {
-            for slice in &job.slices {
-                for record in slice.record().into_iter().chain(slice.want()) {
-                    for task in &record.tasks {
-                        if let TaskRecord::On(_, machine) = task {
-                            busy.insert(machine.clone());
-                        }
-                    }
-                }
-            }
-        }
-        busy
-    }
-
-    /// Cores that tasks take of each machine.
-    fn used_cpus(&self) -> BTreeMap<MachineId, f64> {
-        let mut used: BTreeMap<MachineId, f64> = BTreeMap::new();
+    fn busy_machines(&self) -> HashSet<MachineId, FixedState> {
+        let mut busy: HashSet<&MachineId, FixedState> = HashSet::default();
         for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).filter(|j| j.holds_machines()) {
-            for record in job.slices.iter().filter_map(|s| s.newest()) {
-                for task in &record.tasks {
-                    if let TaskRecord::On(_, machine) = task {
-                        *used.entry(machine.clone()).or_default() += job.record.spec.cpus;
-                    }
+            let records = job.slices.iter().flat_map(|s| s.record().into_iter().chain(s.want()));
+            for task in records.flat_map(|r| &r.tasks) {
+                if let TaskRecord::On(_, machine) = task {
+                    busy.insert(machine);
                 }
             }
         }
-        used
+        busy.into_iter().cloned().collect()
     }
 
-    fn note_idle(&mut self, busy: &BTreeSet<MachineId>) {
+    fn note_idle(&mut self, busy: &HashSet<MachineId, FixedState>) {
         for (name, owned) in &mut self.cloud.machines {
             if busy.contains(name) || !owned.up {
                 owned.idle_since = None;
@@ -687,9 +677,9 @@
                 .get(&m.kind)
                 .map_or(0.0, |t| if m.spot { t.spot_price.unwrap_or(t.price) } else { t.price } / t.cpus)
         };
-        let used = self.used_cpus();
+        let used = self.taken();
         let wanted: f64 = demand.iter().map(|d| d.cpus).sum();
-        let load = |n: &MachineId| used.get(n).copied().unwrap_or(0.0);
+        let load = |n: &MachineId| used.get(n).map_or(0.0, |taken| taken[0]);
         order.sort_by(|a, b| price(b.1).total_cmp(&price(a.1)).then(load(a.0).total_cmp(&load(b.0))));
         for (name, owned) in order {
             if self.draining(name) {
@@ -703,7 +693,7 @@
             // Surplus ordinary machines are left to run out, rather than
             // refilled for as long as there is any work.
             let settled = owned.up && self.now.since(owned.born) > Span::secs(t.boot_s + 45.0);
-            let in_use = used.get(name).copied().unwrap_or(0.0) / t.cpus;
+            let in_use = load(name) / t.cpus;
             let margin = if owned.spot { wanted * 0.1 } else { t.cpus * 0.25 };
             let dear = settled && !owned.spot && in_use < 0.6 && surplus >= t.cpus + margin;
             let unneeded = !lacking(owned) && (idle && surplus >= t.cpus || dear);
@@ -736,8 +726,14 @@
         }
         let mut record = self.view.fleet.record.clone().unwrap_or_default();
         let before = record.clone();
+        // Of a large fleet only so many fit into one record; the rest are
+        // named when these are gone.
+        let most = most_named(self.settings.cluster.state.value_kb);
         for (name, owned) in &self.cloud.machines {
-            if owned.drain_since.is_some() && !record.drain.contains(name) {
+            if record.drain.len() >= most {
+                break;
+            }
+            if owned.drain_since.is_some() && !self.cloud.drained.contains(name) && !record.drain.contains(name) {
                 record.drain.push(name.clone());
             }
         }
@@ -765,7 +761,7 @@
 
     /// Returns machines that were marked long enough for their owners to know
     /// and that nothing is on, or that failed.
-    fn return_drained(&mut self, busy: &BTreeSet<MachineId>) {
+    fn return_drained(&mut self, busy: &HashSet<MachineId, FixedState>) {
         self.write_fleet();
         if self.cloud.returning {
             return;
--- a/src/coordination/leading.rs
+++ b/src/coordination/leading.rs
@@ -4,29 +4,30 @@
 use super::*;
 use crate::bookkeeping::records::{job_key, slice_key, JobRecord, Plan, TaskRecord, LEADER_KEY};
 use crate::bookkeeping::view::Job;
+use foldhash::fast::FixedState;
+use std::collections::HashMap;
 
 /// Slices looked at in one turn.
 const MOST_SLICES: usize = 400;
 
 /// What is free on each machine, by part.
-pub(super) struct Room {
-    machines: Vec<RoomAt>,
+pub(super) struct Room<'a> {
+    parts: Vec<Vec<RoomAt<'a>>>,
 }
 
-struct RoomAt {
-    part: PartId,
-    kind: String,
-    zone: String,
+struct RoomAt<'a> {
+    kind: &'a str,
+    zone: &'a str,
     spot: bool,
     free: [f64; 3],
     cpus: f64,
 }
 
-impl Room {
+impl Room<'_> {
     fn suits(at: &RoomAt, record: &JobRecord) -> bool {
         let spec = &record.spec;
-        spec.types.as_ref().is_none_or(|t| t.contains(&at.kind))
-            && spec.zone.as_ref().is_none_or(|z| *z == at.zone)
+        spec.types.as_ref().is_none_or(|types| types.iter().any(|t| t == at.kind))
+            && spec.zone.as_ref().is_none_or(|z| z == at.zone)
             && (spec.spot || !at.spot)
     }
 
@@ -36,7 +37,11 @@
         let spec = &record.spec;
         let need = [spec.cpus, spec.gpus, spec.mem_gb];
         let mut count = 0;
-        for at in self.machines.iter_mut().filter(|m| m.part == part && Room::suits(m, record)) {
+        let Some(machines) = self.parts.get_mut(part.0 as usize) else { return 0 };
+        for at in machines.iter_mut().filter(|m| Room::suits(m, record)) {
+            if count >= most {
+                break;
+            }
             let mut free = at.free;
             while count < most && free.iter().zip(&need).all(|(f, n)| *f + 1e-6 >= *n) {
                 free.iter_mut().zip(&need).for_each(|(f, n)| *f -= n);
@@ -51,7 +56,8 @@
 
     /// Cores of the part that may ever run the job.
     fn cpus(&self, part: PartId, record: &JobRecord) -> f64 {
-        self.machines.iter().filter(|m| m.part == part && Room::suits(m, record)).map(|m| m.cpus).sum()
+        let machines = self.parts.get(part.0 as usize).into_iter().flatten();
+        machines.filter(|m| Room::suits(m, record)).map(|m| m.cpus).sum()
     }
 }
 
@@ -71,40 +77,43 @@
         }
     }
 
-    fn room(&self) -> Room {
-        let mut used: BTreeMap<&MachineId, [f64; 3]> = BTreeMap::new();
-        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).filter(|j| j.holds_machines()) {
-            let spec = &job.record.spec;
-            for slice in &job.slices {
-                // Our own parts' wishes are newer than what is durable.
-                let Some(record) = slice.newest() else { continue };
-                for task in &record.tasks {
-                    if let TaskRecord::On(_, machine) = task {
-                        let sum = used.entry(machine).or_default();
-                        sum[0] += spec.cpus;
-                        sum[1] += spec.gpus;
-                        sum[2] += spec.mem_gb;
-                    }
-                }
-            }
-        }
-        let mut machines = vec![];
+    fn room(&self) -> Room<'_> {
+        // Our own parts' wishes are newer than what is durable.
+        let used = self.taken();
+        let mut parts: Vec<Vec<RoomAt>> = (0..self.parts).map(|_| vec![]).collect();
         for (name, m) in &self.cloud.machines {
             let Some(t) = self.catalog.get(&m.kind) else { continue };
             if !m.up || m.leaving || self.draining(name) {
                 continue;
             }
             let u = used.get(name).copied().unwrap_or_default();
-            machines.push(RoomAt {
-                part: self.part_of(name),
-                kind: m.kind.clone(),
-                zone: m.zone.clone(),
+            parts[self.part_of(name).0 as usize].push(RoomAt {
+                kind: &m.kind,
+                zone: &m.zone,
                 spot: m.spot,
                 free: [t.cpus - u[0], t.gpus - u[1], t.mem_gb - u[2]],
                 cpus: t.cpus,
             });
         }
-        Room { machines }
+        Room { parts }
+    }
+
+    /// What tasks take of each machine: cores, GPUs and memory, as wanted or
+    /// else as is durable.
+    pub(super) fn taken(&self) -> HashMap<&MachineId, [f64; 3], FixedState> {
+        let mut taken: HashMap<&MachineId, [f64; 3], FixedState> = HashMap::default();
+        for job in self.view.active.iter().filter_map(|id| self.view.jobs.get(id)).filter(|j| j.holds_machines()) {
+            let spec = &job.record.spec;
+            for task in job.slices.iter().filter_map(|s| s.newest()).flat_map(|r| &r.tasks) {
+                if let TaskRecord::On(_, machine) = task {
+                    let sum = taken.entry(machine).or_default();
+                    sum[0] += spec.cpus;
+                    sum[1] += spec.gpus;
+                    sum[2] += spec.mem_gb;
+                }
+            }
+        }
+        taken
     }
 
     /// Deals new large arrays, and moves idle slices from parts without
@@ -125,9 +134,9 @@
         let mut room = self.room();
         let mut queued: BTreeMap<PartId, f64> = BTreeMap::new();
         let mut looked = 0;
-        let mut writes = 0;
+        let mut writes: Vec<Txn> = vec![];
         for (_, id) in jobs {
-            if looked >= MOST_SLICES || writes >= 4 {
+            if looked >= MOST_SLICES || writes.len() >= 4 {
                 break;
             }
             let Some(job) = self.view.jobs.get(&id) else { continue };
@@ -149,10 +158,13 @@
             conditions.extend(moved.iter().map(|&s| Condition { key: slice_key(&id, s), version: version(s) }));
             let record = JobRecord { plan: Some(plan), ..job.record.clone() };
             if let Ok(value) = serde_json::to_value(record) {
-                writes += 1;
-                self.simple_txn(Txn { conditions, changes: vec![Change::put(key, value)] });
+                writes.push(Txn { conditions, changes: vec![Change::put(key, value)] });
             }
         }
+        drop(room);
+        for txn in writes {
+            self.simple_txn(txn);
+        }
     }
 
     fn new_plan(&self, job: &Job, room: &mut Room, queued: &mut BTreeMap<PartId, f64>) -> (Plan, Option<Vec<usize>>) {
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -39,6 +39,12 @@
     dealt
 }
 
+/// Notes after which the leader tells the ages of all machines again.
+const ALL_AGES_EVERY: u64 = 4;
+
+/// Machines whose ages every note of the leader tells.
+const YOUNG: Span = Span(60_000);
+
 impl Core {
     pub(super) fn tick_membership(&mut self) {
         if self.now < self.retry_state_at {
@@ -349,10 +355,11 @@
     pub(super) fn tell(&mut self) {
         let mut note = self.own_note();
         if self.leading() {
-            note.ages = self
-                .cloud
-                .machines
-                .iter()
+            // All of them now and then, for owners that are new; in between
+            // only young machines', which others may not know yet.
+            let all = self.told % ALL_AGES_EVERY == 0;
+            let ages = self.cloud.machines.iter().filter(|(_, m)| all || self.now.since(m.born) < YOUNG);
+            note.ages = ages
                 .map(|(name, m)| MachineAge { machine: name.to_string(), age_s: self.now.since(m.born).as_secs() })
                 .collect();
         }
@@ -370,20 +377,14 @@
             let heard = machines.filter(|(_, m)| self.now.since(m.last_report) < quiet);
             load.up = heard.map(|(name, _)| name.to_string()).collect();
         }
-        self.told = note.clone();
+        self.told += 1;
         self.out.push(Output::Tell(note));
     }
 
-    /// Tells the others at once that there is something new to read.
+    /// Tells the others at once that there is something new to read, without
+    /// saying all of a note again.
     pub(super) fn nudge(&mut self, revision: Revision) {
-        // All of it: this note may overtake the last one, which is then never sent.
-        let note = Note {
-            revision: revision.0,
-            from: self.me.to_string(),
-            state_reachable: self.state_fresh(),
-            ..self.told.clone()
-        };
-        self.out.push(Output::Tell(note));
+        self.out.push(Output::Nudge(revision));
     }
 
     pub(super) fn note(&mut self, note: Note) {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -120,6 +120,8 @@
     Cloud(CallId, CloudCall),
     /// To all other controllers.
     Tell(Note),
+    /// To all other controllers: the records have come as far as this.
+    Nudge(Revision),
 }
 
 /// Lengths of time that the rules rest on, derived from the settings.
@@ -280,8 +282,8 @@
     learned: learned::Learned,
     queries: Queries,
     withdrawal: withdrawing::Withdrawal,
-    /// The last whole note to the other controllers.
-    told: Note,
+    /// Notes told so far.
+    told: u64,
 }
 
 impl Core {
@@ -332,7 +334,7 @@
             learned: learned::Learned::default(),
             queries: Queries::default(),
             withdrawal: withdrawing::Withdrawal::default(),
-            told: Note::default(),
+            told: 0,
         }
     }
 
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -74,22 +74,38 @@
     pub revision: Revision,
 }
 
+/// A change that a watch brings.
 #[derive(Debug, Clone, Deserialize)]
-#[serde(untagged)]
+#[serde(try_from = "AnyEvent")]
 pub enum Event {
-    Put {
-        put: String,
-        #[serde(rename = "data")]
-        value: Value,
-        #[serde(rename = "stamp")]
-        version: Revision,
-    },
-    Delete {
-        #[serde(rename = "drop")]
-        delete: String,
-        #[serde(rename = "stamp")]
-        version: Revision,
-    },
+    Put { put: String, value: Value, version: Revision },
+    Delete { delete: String, version: Revision },
+}
+
+/// An event of either kind as it stands on the wire, told apart by what is
+/// there: trying one kind after the other would read every value twice.
+#[derive(Deserialize)]
+struct AnyEvent {
+    put: Option<String>,
+    #[serde(rename = "drop")]
+    delete: Option<String>,
+    #[serde(rename = "data", default)]
+    value: Value,
+    #[serde(rename = "stamp")]
+    version: Revision,
+}
+
+impl TryFrom<AnyEvent> for Event {
+    type Error = &'static str;
+
+    fn try_from(any: AnyEvent) -> Result<Event, Self::Error> {
+        let AnyEvent { put, delete, value, version } = any;
+        match (put, delete) {
+            (Some(put), None) => Ok(Event::Put { put, value, version }),
+            (None, Some(delete)) => Ok(Event::Delete { delete, version }),
+            _ => Err("an event is either a put or a drop"),
+        }
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -56,10 +56,24 @@
 
 impl<'de> Deserialize<'de> for TaskName {
     fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(deserializer)?;
+        deserializer.deserialize_str(TaskNameVisitor)
+    }
+}
+
+/// Reads the name where it stands: reports list many tasks.
+struct TaskNameVisitor;
+
+impl serde::de::Visitor<'_> for TaskNameVisitor {
+    type Value = TaskName;
+
+    fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str("a task name, as in wk-000412/3")
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<TaskName, E> {
         text.rsplit_once('/')
             .and_then(|(job, index)| Some(TaskName { job: JobRef::new(job), index: index.parse().ok()? }))
-            .ok_or_else(|| serde::de::Error::custom("not a task name"))
+            .ok_or_else(|| E::custom("not a task name"))
     }
 }
 
--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -99,9 +99,8 @@
                 }
                 Output::State(id, call) => again.extend(outside.state(id, call)),
                 Output::Cloud(id, call) => again.extend(outside.cloud(id, call)),
-                Output::Tell(note) => {
-                    let _ = notes.send(note);
-                }
+                Output::Tell(note) => notes.tell(note),
+                Output::Nudge(revision) => notes.nudge(revision),
             }
         }
         // A steady stream of events must not keep the clock from ticking.
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -84,12 +84,21 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// The time-outs that the socket has now.
+    read_timeout: Option<Duration>,
+    write_timeout: Option<Duration>,
+}
+
+/// True if a socket's time-out serves for what is left: no shorter, and not
+/// much longer. Setting it anew for every message costs a system call each.
+fn serves(set: Option<Duration>, left: Duration) -> bool {
+    set.is_some_and(|set| set >= left && set <= left + left / 16 + Duration::from_millis(2))
 }
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Connection { stream, buffer: Vec::new() }
+        Connection { stream, buffer: Vec::new(), read_timeout: None, write_timeout: None }
     }
 
     /// Reads more by `deadline`.
@@ -98,7 +107,11 @@
         if left.is_zero() {
             return Err(io::Error::from(io::ErrorKind::TimedOut).into());
         }
-        self.stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+        if !serves(self.read_timeout, left) {
+            let timeout = Some(left.max(Duration::from_millis(1)));
+            self.stream.set_read_timeout(timeout)?;
+            self.read_timeout = timeout;
+        }
         let mut piece = [0u8; 4096];
         match self.stream.read(&mut piece) {
             Ok(0) => Err(HttpError::Closed),
@@ -180,7 +193,10 @@
     }
 
     pub fn write(&mut self, bytes: &[u8], timeout: Duration) -> Result<(), HttpError> {
-        self.stream.set_write_timeout(Some(timeout))?;
+        if !serves(self.write_timeout, timeout) {
+            self.stream.set_write_timeout(Some(timeout))?;
+            self.write_timeout = Some(timeout);
+        }
         self.stream.write_all(bytes)?;
         Ok(())
     }
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use tillercleat::coordination::{Ask, CloudAnswer, CloudCall, Core, Input, Output, Reply};
 use tillercleat::protocol::cloud::{Catalog, Listed, ListedState, MachineNames, MachinePage, MachineType};
+use tillercleat::protocol::peer::Note;
 use tillercleat::protocol::state::{Change, Event as Changed, Events, Item, Page, StateAnswer, StateCall, Txn};
 use tillercleat::protocol::users::{JobSpec, JobState};
 use tillercleat::protocol::workers::{Command, Report, TaskName, TaskReport, TaskState, Why};
@@ -698,14 +699,21 @@
                     self.at(self.now + delay, Due::State(node, life, id, call, self.now + wait));
                 }
                 Output::Cloud(id, call) => self.at(self.now + 80, Due::Cloud(node, life, id, call)),
-                Output::Tell(note) => {
-                    for peer in (0..self.nodes.len()).filter(|p| *p != node) {
-                        if self.now >= self.peers_cut && self.nodes[peer].core.is_some() {
-                            let to = self.nodes[peer].life;
-                            self.at(self.now + 2, Due::ToNode(peer, to, Input::Note(note.clone())));
-                        }
-                    }
+                Output::Nudge(revision) => {
+                    let note = Note { from: format!("n{node}"), revision: revision.0, ..Note::default() };
+                    let note = Note { state_reachable: true, ..note };
+                    self.tell(node, note);
                 }
+                Output::Tell(note) => self.tell(node, note),
+            }
+        }
+    }
+
+    fn tell(&mut self, node: usize, note: Note) {
+        for peer in (0..self.nodes.len()).filter(|p| *p != node) {
+            if self.now >= self.peers_cut && self.nodes[peer].core.is_some() {
+                let to = self.nodes[peer].life;
+                self.at(self.now + 2, Due::ToNode(peer, to, Input::Note(note.clone())));
             }
         }
     }
