One budget of threads, sockets and memory; users are refused first, workers last

Need: the cap on connections came from sockets and memory and was about 2,005 at fleet settings, where a process may have 2,000 threads; 2,700 half-open connections took 2,014.

Change: crates/admission derives one budget from the limits and a ceiling on threads (setting threads, 1,800) and keeps to it as a pure state machine. Strangers have a share, in it each address half; the quietest makes way. Users leave what workers needed of late. A thread that cannot be made is a refusal with an answer. transport: events and routes are files of their own, the circle among four files is gone.

Measured: a real process with a ceiling of 48 threads under 480 half-open connections stays at it, keeps its worker's connection and lets new workers in.

--- /dev/null
+++ b/crates/admission/src/gate.rs
@@ -0,0 +1,421 @@
+//! The state machine that keeps connections within their budget.
+
+use crate::Plan;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+
+/// A moment in milliseconds since any fixed one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Millis(pub u64);
+
+/// One connection for as long as it lives; never used again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// Who asks over a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    User,
+    Worker,
+}
+
+/// Why a connection is not taken, or a request not served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Why {
+    /// The budget is used up, and nobody can be let go.
+    Full,
+    /// Too many that have not asked anything yet.
+    Strangers,
+    /// Users hold all but what is kept for workers.
+    Users,
+}
+
+/// What becomes of a connection that has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrival {
+    /// Its name if it is taken; if not, it is to be answered at once that there
+    /// is no room, and closed.
+    pub taken: Result<ConnectionId, Why>,
+    /// Another connection that is to be closed now.
+    pub leave: Option<ConnectionId>,
+}
+
+/// What becomes of a connection when its request is there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Keep {
+    /// Serve the request and wait for the next.
+    Open,
+    /// Serve the request and close.
+    Last,
+    /// Answer at once that there is no room, and close.
+    Refused(Why),
+}
+
+/// A stranger that has said nothing for so long may be let go for another:
+/// those who mean to ask do so at once.
+const STRANGER_MS: u64 = 500;
+
+/// The peak of workers' connections halves in this time, unless reached again.
+const PEAK_HALVES_MS: u64 = 60_000;
+
+/// Kept for workers beyond their latest peak: they come back all at once.
+const PEAK_MARGIN: f64 = 1.25;
+
+/// The most that is kept for workers however many came.
+const MOST_KEPT: f64 = 0.75;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Has not asked anything yet.
+    Stranger,
+    /// Being answered.
+    Busy(Role),
+    /// Between requests.
+    Idle(Role),
+    /// Told to end.
+    Leaving(Option<Role>),
+}
+
+/// One connection.
+#[derive(Debug, Clone, Copy)]
+struct Open {
+    state: State,
+    since: Millis,
+    from: IpAddr,
+}
+
+/// Connections that are open, and who must go first.
+#[derive(Debug)]
+pub struct Gate {
+    plan: Plan,
+    last: u64,
+    open: BTreeMap<ConnectionId, Open>,
+    /// Strangers and idle users, by how long they have been so.
+    strangers: BTreeSet<(Millis, ConnectionId)>,
+    /// The same by where they come from: one address must not take the places
+    /// of all others.
+    by_address: BTreeMap<IpAddr, BTreeSet<(Millis, ConnectionId)>>,
+    idle_users: BTreeSet<(Millis, ConnectionId)>,
+    users: usize,
+    workers: usize,
+    /// The most workers' connections of late, and when that was.
+    peak: (f64, Millis),
+}
+
+impl Gate {
+    pub fn new(plan: Plan) -> Gate {
+        Gate {
+            plan,
+            last: 0,
+            open: BTreeMap::new(),
+            strangers: BTreeSet::new(),
+            by_address: BTreeMap::new(),
+            idle_users: BTreeSet::new(),
+            users: 0,
+            workers: 0,
+            peak: (0.0, Millis(0)),
+        }
+    }
+
+    /// Connections that are open or ending; never more than the budget.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Connections kept for workers now: what they needed of late.
+    pub fn kept_for_workers(&self, now: Millis) -> usize {
+        let halves = now.0.saturating_sub(self.peak.1 .0) as f64 / PEAK_HALVES_MS as f64;
+        let peak = self.peak.0 * 0.5f64.powf(halves);
+        let most = (self.plan.connections as f64 * MOST_KEPT) as usize;
+        ((peak.max(self.workers as f64) * PEAK_MARGIN) as usize).max(self.plan.workers).min(most)
+    }
+
+    fn users_may_have(&self, now: Millis) -> usize {
+        self.plan.connections - self.kept_for_workers(now)
+    }
+
+    /// A connection has come.
+    pub fn arrived(&mut self, from: IpAddr, now: Millis) -> Arrival {
+        let of_it = self.by_address.get(&from);
+        let leave = if of_it.is_some_and(|s| s.len() >= (self.plan.strangers / 2).max(1)) {
+            let Some(id) = quiet(of_it, now) else { return Arrival { taken: Err(Why::Strangers), leave: None } };
+            Some(id)
+        } else if self.strangers.len() >= self.plan.strangers {
+            let quiet = quiet(Some(&self.strangers), now);
+            let Some(id) = quiet else { return Arrival { taken: Err(Why::Strangers), leave: None } };
+            Some(id)
+        } else if self.open.len() >= self.plan.crowded {
+            quiet(Some(&self.strangers), now).or_else(|| self.idle_users.first().map(|(_, id)| *id))
+        } else {
+            None
+        };
+        if let Some(id) = leave {
+            self.set(id, |state| State::Leaving(role(state)), now);
+        }
+        if self.open.len() >= self.plan.connections {
+            // The one that was told to go makes room for the next that comes.
+            return Arrival { taken: Err(Why::Full), leave };
+        }
+        self.last += 1;
+        let id = ConnectionId(self.last);
+        self.open.insert(id, Open { state: State::Stranger, since: now, from });
+        self.count(id);
+        Arrival { taken: Ok(id), leave }
+    }
+
+    /// A whole request is there.
+    pub fn asked(&mut self, id: ConnectionId, by: Role, now: Millis) -> Keep {
+        if self.open.get(&id).is_none_or(|open| matches!(open.state, State::Leaving(_))) {
+            return Keep::Last;
+        }
+        self.set(id, |_| State::Busy(by), now);
+        match by {
+            Role::Worker => {
+                if self.workers as f64 >= self.peak.0 * 0.5f64.powf(self.peak_age(now)) {
+                    self.peak = (self.workers as f64, now);
+                }
+                Keep::Open
+            }
+            Role::User if self.users > self.users_may_have(now) => {
+                self.set(id, |state| State::Leaving(role(state)), now);
+                Keep::Refused(Why::Users)
+            }
+            // With few connections left, users' are not kept between requests.
+            Role::User if self.open.len() * 4 > self.plan.connections * 3 => Keep::Last,
+            Role::User => Keep::Open,
+        }
+    }
+
+    /// The request was answered, and the connection stays.
+    pub fn answered(&mut self, id: ConnectionId, now: Millis) {
+        if let Some(State::Busy(by)) = self.open.get(&id).map(|open| open.state) {
+            self.set(id, |_| State::Idle(by), now);
+        }
+    }
+
+    /// The connection has ended, and its thread with it.
+    pub fn ended(&mut self, id: ConnectionId) {
+        self.uncount(id);
+        self.open.remove(&id);
+    }
+
+    fn peak_age(&self, now: Millis) -> f64 {
+        now.0.saturating_sub(self.peak.1 .0) as f64 / PEAK_HALVES_MS as f64
+    }
+
+    fn set(&mut self, id: ConnectionId, next: impl FnOnce(State) -> State, now: Millis) {
+        self.uncount(id);
+        if let Some(open) = self.open.get_mut(&id) {
+            open.state = next(open.state);
+            open.since = now;
+        }
+        self.count(id);
+    }
+
+    fn count(&mut self, id: ConnectionId) {
+        let Some(&Open { state, since, from }) = self.open.get(&id) else { return };
+        match role(state) {
+            Some(Role::User) => self.users += 1,
+            Some(Role::Worker) => self.workers += 1,
+            None => {}
+        }
+        match state {
+            State::Stranger => {
+                self.strangers.insert((since, id));
+                self.by_address.entry(from).or_default().insert((since, id));
+            }
+            State::Idle(Role::User) => {
+                self.idle_users.insert((since, id));
+            }
+            _ => {}
+        }
+    }
+
+    fn uncount(&mut self, id: ConnectionId) {
+        let Some(&Open { state, since, from }) = self.open.get(&id) else { return };
+        match role(state) {
+            Some(Role::User) => self.users -= 1,
+            Some(Role::Worker) => self.workers -= 1,
+            None => {}
+        }
+        match state {
+            State::Stranger => {
+                self.strangers.remove(&(since, id));
+                if let Some(of_it) = self.by_address.get_mut(&from) {
+                    of_it.remove(&(since, id));
+                    if of_it.is_empty() {
+                        self.by_address.remove(&from);
+                    }
+                }
+            }
+            State::Idle(Role::User) => {
+                self.idle_users.remove(&(since, id));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The stranger that has been quiet for longest, if for long enough.
+fn quiet(strangers: Option<&BTreeSet<(Millis, ConnectionId)>>, now: Millis) -> Option<ConnectionId> {
+    let (since, id) = strangers?.first()?;
+    (now.0.saturating_sub(since.0) >= STRANGER_MS).then_some(*id)
+}
+
+fn role(state: State) -> Option<Role> {
+    match state {
+        State::Stranger => None,
+        State::Busy(by) | State::Idle(by) => Some(by),
+        State::Leaving(by) => by,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Limits, Own};
+    use proptest::prelude::*;
+
+    fn plan() -> Plan {
+        let limits = Limits { threads: 60, sockets: 100, memory_mib: 100.0 };
+        Plan::new(limits, Own { threads: 20, sockets: 40 }).unwrap()
+    }
+
+    fn address(n: u8) -> IpAddr {
+        IpAddr::from([10, 0, 0, n])
+    }
+
+    #[derive(Debug, Clone)]
+    enum Step {
+        Arrive(u8),
+        Ask(usize, Role),
+        Answer(usize),
+        End(usize),
+        Wait(u64),
+    }
+
+    fn step() -> impl Strategy<Value = Step> {
+        let role = prop_oneof![Just(Role::User), Just(Role::Worker)];
+        prop_oneof![
+            4 => (0u8..6).prop_map(Step::Arrive),
+            4 => (0usize..64, role).prop_map(|(pick, role)| Step::Ask(pick, role)),
+            3 => (0usize..64).prop_map(Step::Answer),
+            2 => (0usize..64).prop_map(Step::End),
+            1 => (0u64..1500).prop_map(Step::Wait),
+        ]
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 400,
+            rng_seed: proptest::test_runner::RngSeed::Fixed(21),
+            failure_persistence: None,
+            ..Default::default()
+        })]
+        /// The budget holds whatever comes; a worker's connection is never
+        /// closed or refused, and none is refused for want of room while a user
+        /// or a quiet stranger could go instead.
+        #[test]
+        fn the_budget_holds_and_users_go_before_workers(steps in proptest::collection::vec(step(), 1..400)) {
+            let mut gate = Gate::new(plan());
+            let mut now = Millis(0);
+            // What the model knows of each: who asked, whether it is being
+            // answered, since when, and whether it was told to go.
+            let mut open: BTreeMap<ConnectionId, (Option<Role>, bool, Millis, bool)> = BTreeMap::new();
+            for step in steps {
+                let pick = |n: usize| open.keys().nth(n % open.len().max(1)).copied();
+                match step {
+                    Step::Arrive(from) => {
+                        let arrival = gate.arrived(address(from), now);
+                        if let Some(id) = arrival.leave {
+                            let one = open.get_mut(&id).expect("a connection that is open");
+                            prop_assert!(one.0 != Some(Role::Worker) && !one.1 && !one.3, "{one:?} told to go");
+                            one.3 = true;
+                        }
+                        match arrival.taken {
+                            Ok(id) => prop_assert!(open.insert(id, (None, false, now, false)).is_none()),
+                            Err(Why::Full) => {
+                                let could_go = |c: &&(Option<Role>, bool, Millis, bool)| {
+                                    let quiet = now.0 - c.2.0 >= STRANGER_MS;
+                                    !c.3 && (c.0.is_none() && quiet || c.0 == Some(Role::User) && !c.1)
+                                };
+                                prop_assert!(arrival.leave.is_some() || !open.values().any(|c| could_go(&c)));
+                            }
+                            Err(Why::Strangers) => {
+                                let silent = open.values().filter(|c| c.0.is_none() && !c.3).count();
+                                prop_assert!(silent >= plan().strangers / 2);
+                            }
+                            Err(Why::Users) => prop_assert!(false, "nobody has said to be a user"),
+                        }
+                    }
+                    Step::Ask(n, by) => {
+                        let Some(id) = pick(n) else { continue };
+                        let one = open[&id];
+                        if one.1 || one.0.is_some_and(|role| role != by) {
+                            continue;
+                        }
+                        let users = open.values().filter(|c| c.0 == Some(Role::User)).count();
+                        match gate.asked(id, by, now) {
+                            Keep::Refused(_) => {
+                                prop_assert_eq!(by, Role::User);
+                                open.insert(id, (Some(by), true, now, true));
+                            }
+                            Keep::Last => prop_assert!(one.3 || by == Role::User),
+                            Keep::Open => {}
+                        }
+                        if !open[&id].3 {
+                            open.insert(id, (Some(by), true, now, false));
+                            let held = users + usize::from(by == Role::User && one.0.is_none());
+                            prop_assert!(by == Role::Worker || held <= plan().connections - plan().workers);
+                        }
+                    }
+                    Step::Answer(n) => {
+                        let Some(id) = pick(n) else { continue };
+                        gate.answered(id, now);
+                        if let Some(one) = open.get_mut(&id).filter(|c| c.1 && !c.3) {
+                            *one = (one.0, false, now, false);
+                        }
+                    }
+                    Step::End(n) => {
+                        let Some(id) = pick(n) else { continue };
+                        gate.ended(id);
+                        open.remove(&id);
+                    }
+                    Step::Wait(ms) => now = Millis(now.0 + ms),
+                }
+                prop_assert_eq!(gate.open(), open.len());
+                prop_assert!(gate.open() <= plan().connections);
+            }
+        }
+    }
+
+    /// Half-open connections took every thread, and workers found none.
+    #[test]
+    fn a_flood_from_one_address_leaves_room_for_all_others() {
+        let mut gate = Gate::new(plan());
+        let flood = (0..1000).filter(|_| gate.arrived(address(1), Millis(10)).taken.is_ok()).count();
+        assert_eq!(flood, plan().strangers / 2);
+        let worker = gate.arrived(address(2), Millis(11)).taken.unwrap();
+        assert_eq!(gate.asked(worker, Role::Worker, Millis(12)), Keep::Open);
+        // Quiet for long enough, each makes way for the next.
+        let later = gate.arrived(address(1), Millis(600));
+        assert!(later.taken.is_ok() && later.leave.is_some());
+    }
+
+    /// A fleet that lost its owner comes back all at once: users must not have
+    /// taken its places meanwhile.
+    #[test]
+    fn what_workers_needed_of_late_is_kept_for_them() {
+        let mut gate = Gate::new(plan());
+        let mut ids = vec![];
+        for n in 0..20u8 {
+            let id = gate.arrived(address(n), Millis(0)).taken.unwrap();
+            assert_eq!(gate.asked(id, Role::Worker, Millis(0)), Keep::Open);
+            ids.push(id);
+        }
+        assert_eq!(gate.kept_for_workers(Millis(0)), 25);
+        ids.into_iter().for_each(|id| gate.ended(id));
+        assert_eq!(gate.kept_for_workers(Millis(1000)), 24);
+        assert_eq!(gate.kept_for_workers(Millis(600_000)), plan().workers);
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -70,6 +70,10 @@
             return ExitCode::from(2);
         }
     };
+    if let Err(error) = transport::plan(&settings, &tuning) {
+        eprintln!("tillercleat: {}: {error}", files.config.display());
+        return ExitCode::from(2);
+    }
     if !run {
         println!("{}: settings are fine", files.config.display());
         return ExitCode::SUCCESS;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -177,6 +177,8 @@
     pub idle_s: f64,
     /// Placements decided on in one round at the most.
     pub round_limit: usize,
+    /// Threads that the process may have in all.
+    pub threads: usize,
     /// Whether P_c takes part in the score; off for comparisons.
     pub use_lifetimes: bool,
     /// Whether a task may wait for a busy machine; off for comparisons.
@@ -185,7 +187,15 @@
 
 impl Default for Tuning {
     fn default() -> Self {
-        Tuning { round_ms: 150, slice_tasks: 16, idle_s: 20.0, round_limit: 96, use_lifetimes: true, may_wait: true }
+        Tuning {
+            round_ms: 150,
+            slice_tasks: 16,
+            idle_s: 20.0,
+            round_limit: 96,
+            threads: 1800,
+            use_lifetimes: true,
+            may_wait: true,
+        }
     }
 }
 
@@ -205,6 +215,9 @@
         if !(tuning.idle_s.is_finite() && tuning.idle_s >= 0.0) {
             return wrong("idle_s", "must be 0 or more");
         }
+        if !(32..=100_000).contains(&tuning.threads) {
+            return wrong("threads", "must lie between 32 and 100000");
+        }
         if tuning.round_limit == 0 {
             return wrong("round_limit", "must be above 0");
         }
--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -1,15 +1,16 @@
 //! Runs the core: feeds it what comes in, and carries out what it says.
 
-use super::outside::Outside;
+use super::events::{Asked, Event};
+use super::outside::{self, Outside};
 use super::{peers, server};
-use crate::coordination::{Ask, Core, Input, Output, Reply};
-use crate::protocol::workers::Report;
+use crate::coordination::{Core, Input, Output, Reply};
 use crate::settings::{Settings, Tuning};
 use crate::units::{RequestId, Time};
 use std::collections::{HashMap, VecDeque};
 use std::net::TcpListener;
 use std::sync::mpsc::{sync_channel, RecvTimeoutError, SyncSender};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tillercleat_admission::{Limits, Own, Plan, PlanError};
 
 /// Events waiting for the core; a connection that finds this full is refused.
 const QUEUE: usize = 1024;
@@ -20,15 +21,25 @@
 /// How long it then listens before its next tick.
 const HEAR_FIRST: Duration = Duration::from_millis(60);
 
-/// A request that wants an answer.
-pub enum Asked {
-    User(Ask),
-    Report(Box<Report>),
-}
+/// Threads that are neither callers nor connections: the core's, the
+/// listener's and the peers', and some to spare for what libraries start.
+const OTHER_THREADS: usize = 8;
+
+/// Sockets of this process's own beside those to and from each peer.
+const OWN_SOCKETS: usize = 24;
+const SOCKETS_A_PEER: usize = 4;
 
-pub enum Event {
-    Asked(Asked, SyncSender<Reply>),
-    Input(Input),
+/// What users and workers may have of threads, sockets and memory.
+///
+/// # Errors
+///
+/// If the limits leave too little for them.
+pub fn plan(settings: &Settings, tuning: &Tuning) -> Result<Plan, PlanError> {
+    let quota = &settings.cluster.quota;
+    let limits = Limits { threads: tuning.threads, sockets: quota.fd_limit, memory_mib: quota.ram_mb };
+    let own =
+        Own { threads: OTHER_THREADS + outside::THREADS, sockets: OWN_SOCKETS + SOCKETS_A_PEER * settings.peers.len() };
+    Plan::new(limits, own)
 }
 
 /// Serves until the process is killed.
@@ -38,15 +49,12 @@
     let outside = Outside::new(&engine, settings.services.state, settings.services.cloud)?;
     let peer_addrs = settings.peers.iter().map(|p| p.addr).collect();
     let notes = peers::start(settings.peer_listen, peer_addrs, engine.clone())?;
-    // Callers and peers need some sockets; the rest is for users and workers.
-    let most = settings.cluster.quota.fd_limit.saturating_sub(24 + 4 * settings.peers.len()).max(8);
-    // What connections may take of the memory: stack and buffers of a thread each.
-    let by_memory = (settings.cluster.quota.ram_mb * 1024.0 * 0.5 / 48.0) as usize;
-    let most = most.min(by_memory.max(8));
+    let plan = plan(&settings, &tuning).map_err(std::io::Error::other)?;
+    tracing::info!("room for {} connections", plan.connections);
     std::thread::Builder::new()
         .name("listen".into())
         .stack_size(128 * 1024)
-        .spawn(move || server::listen(listener, most, engine))?;
+        .spawn(move || server::listen(listener, plan, engine))?;
 
     let begin = Instant::now();
     let mut core = Core::new(settings, tuning);
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The most bytes of a request's or response's head.
@@ -82,7 +83,7 @@
 
 /// A connection with what was read but not used yet.
 pub struct Connection {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     buffer: Vec<u8>,
     /// The time-outs that the socket has now.
     read_timeout: Option<Duration>,
@@ -96,7 +97,8 @@
 }
 
 impl Connection {
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: impl Into<Arc<TcpStream>>) -> Self {
+        let stream = stream.into();
         let _ = stream.set_nodelay(true);
         Connection { stream, buffer: Vec::new(), read_timeout: None, write_timeout: None }
     }
@@ -113,7 +115,7 @@
             self.read_timeout = timeout;
         }
         let mut piece = [0u8; 4096];
-        match self.stream.read(&mut piece) {
+        match (&*self.stream).read(&mut piece) {
             Ok(0) => Err(HttpError::Closed),
             Ok(n) => {
                 self.buffer.extend_from_slice(&piece[..n]);
@@ -197,7 +199,7 @@
             self.stream.set_write_timeout(Some(timeout))?;
             self.write_timeout = Some(timeout);
         }
-        self.stream.write_all(bytes)?;
+        (&*self.stream).write_all(bytes)?;
         Ok(())
     }
 }
--- a/src/transport/outside.rs
+++ b/src/transport/outside.rs
@@ -1,6 +1,6 @@
 //! Callers of the state service and the cloud: a few threads with a queue.
 
-use super::engine::Event;
+use super::events::Event;
 use super::http::Client;
 use crate::coordination::{CloudAnswer, CloudCall, Input};
 use crate::protocol::cloud::{MachineNames, LIST_LIMIT};
@@ -16,6 +16,11 @@
 const CLOUD_TIMEOUT: Duration = Duration::from_secs(5);
 const QUEUE: usize = 256;
 
+/// Threads for watching, for leases, for other calls on the state service, and
+/// for the cloud.
+const STATE_THREADS: usize = 3;
+pub const THREADS: usize = 1 + 1 + STATE_THREADS + 1;
+
 /// A queue of calls; one that is full refuses them.
 pub struct Caller<T> {
     queue: SyncSender<(CallId, T)>,
@@ -122,7 +127,7 @@
         Ok(Outside {
             watch: Caller::new(1, engine, state, state_call)?,
             lease: Caller::new(1, engine, state, state_call)?,
-            state: Caller::new(3, engine, state, state_call)?,
+            state: Caller::new(STATE_THREADS, engine, state, state_call)?,
             cloud: Caller::new(1, engine, cloud, cloud_call)?,
         })
     }
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -1,7 +1,7 @@
 //! What controllers tell one another, by gRPC: one thread with a runtime of
 //! its own, which nothing else in the program sees.
 
-use super::engine::Event;
+use super::events::Event;
 use crate::coordination::Input;
 use crate::protocol::peer::peer_client::PeerClient;
 use crate::protocol::peer::peer_server::{Peer, PeerServer};
--- /dev/null
+++ b/src/transport/routes.rs
@@ -0,0 +1,124 @@
+//! What the requests of users and workers ask for, and how replies are written.
+
+use super::events::Asked;
+use super::http::{Connection, HttpError};
+use crate::coordination::{Ask, Reply};
+use crate::protocol::users::{valid_job_ref, JobAnswer, JobSpec};
+use crate::protocol::workers::{GoElsewhere, Report, ReportAnswer};
+use crate::units::JobRef;
+use serde::Serialize;
+use std::time::Duration;
+
+/// Workers report here; everything else is asked by users.
+const REPORTS: &str = "/hello";
+
+/// What a request asks for, or the answer it gets at once.
+pub enum Routed {
+    Ask(Asked),
+    Answer(u16, String),
+}
+
+fn problem(status: u16, reason: &str) -> Routed {
+    Routed::Answer(status, serde_json::json!({ "error": reason }).to_string())
+}
+
+/// Reads a request.
+pub fn route(method: &str, target: &str, body: &[u8]) -> Routed {
+    let path = target.split('?').next().unwrap_or("");
+    let allow = |wanted: &str, routed: &dyn Fn() -> Routed| {
+        if method == wanted {
+            routed()
+        } else {
+            problem(405, "method not allowed")
+        }
+    };
+    match path {
+        "/up" => return allow("GET", &|| Routed::Ask(Asked::User(Ask::Up))),
+        REPORTS => {
+            return allow("POST", &|| match serde_json::from_slice::<Report>(body) {
+                Ok(report) => Routed::Ask(Asked::Report(Box::new(report))),
+                Err(error) => {
+                    tracing::warn!("a report makes no sense: {error}");
+                    problem(400, "not a report")
+                }
+            })
+        }
+        "/v2/runs" => {
+            return allow("POST", &|| match JobSpec::parse(body) {
+                Ok(spec) => Routed::Ask(Asked::User(Ask::Submit(Box::new(spec)))),
+                Err(reason) => problem(400, &reason),
+            })
+        }
+        _ => {}
+    }
+    let Some(rest) = path.strip_prefix("/v2/runs/") else { return problem(404, "no such path") };
+    let (id, cancel) = match rest.split_once('/') {
+        None => (rest, false),
+        Some((id, "withdraw")) => (id, true),
+        Some(_) => return problem(404, "no such path"),
+    };
+    let known = valid_job_ref(id);
+    allow(if cancel { "POST" } else { "GET" }, &|| match (known, cancel) {
+        (false, true) => problem(400, "not a job id"),
+        (false, false) => problem(404, "no such job"),
+        (true, true) => Routed::Ask(Asked::User(Ask::Cancel(JobRef::new(id)))),
+        (true, false) => Routed::Ask(Asked::User(Ask::Query(JobRef::new(id)))),
+    })
+}
+
+fn json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+/// Status, body and `Retry-After` of a reply.
+pub fn render(reply: &Reply) -> (u16, String, Option<u32>) {
+    match reply {
+        Reply::Up => (200, "{}".into(), None),
+        Reply::Job { status, id, state, counts } => {
+            let (done, running) = counts.unzip();
+            (*status, json(&JobAnswer { id, state: *state, done, running }), None)
+        }
+        Reply::Problem { status, reason, retry_after_s } => {
+            (*status, serde_json::json!({ "error": reason }).to_string(), *retry_after_s)
+        }
+        Reply::Commands { token, commands } => (200, json(&ReportAnswer { token: *token, commands }), None),
+        Reply::Elsewhere(node) => (421, json(&GoElsewhere { report_to: node.as_ref().map(|n| n.as_str()) }), None),
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        _ => "Service Unavailable",
+    }
+}
+
+/// True for a request that only workers make.
+pub fn of_worker(target: &str) -> bool {
+    target.split('?').next() == Some(REPORTS)
+}
+
+/// Writes a whole response; with `close` the connection ends after it.
+pub fn write(
+    connection: &mut Connection,
+    status: u16,
+    body: &str,
+    retry: Option<u32>,
+    close: bool,
+    within: Duration,
+) -> Result<(), HttpError> {
+    let retry = retry.map(|s| format!("Retry-After: {s}\r\n")).unwrap_or_default();
+    let close = if close { "Connection: close\r\n" } else { "" };
+    let text = format!(
+        "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\n{retry}{close}Content-Length: {}\r\n\r\n{body}",
+        reason(status),
+        body.len()
+    );
+    connection.write(text.as_bytes(), within)
+}
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -1,191 +1,169 @@
 //! The listener for users, workers and health checks: a thread a connection,
-//! of which there are only so many.
+//! as many as the gate lets in.
 
-use super::engine::{Asked, Event};
+use super::events::Event;
 use super::http::{Connection, HttpError};
-use crate::coordination::{Ask, Reply};
-use crate::protocol::users::{valid_job_ref, JobAnswer, JobSpec};
-use crate::protocol::workers::{GoElsewhere, Report, ReportAnswer};
+use super::routes::{of_worker, render, route, write, Routed};
 use crate::protocol::BODY_LIMIT;
-use crate::units::JobRef;
-use serde::Serialize;
-use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, Shutdown, TcpListener, TcpStream};
 use std::sync::mpsc::{sync_channel, SyncSender};
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tillercleat_admission::{ConnectionId, Gate, Keep, Millis, Plan, Role};
 
 const STACK: usize = 128 * 1024;
+/// How long a new connection may take to ask something.
+const FIRST: Duration = Duration::from_secs(10);
 const IDLE: Duration = Duration::from_secs(60);
 const WHOLE: Duration = Duration::from_secs(5);
 const ANSWER_WITHIN: Duration = Duration::from_millis(4500);
+/// Refusals are written by the thread that accepts: it waits for nobody.
+const REFUSE_WITHIN: Duration = Duration::from_millis(5);
 
-/// What a request asks for, or the answer it gets at once.
-enum Routed {
-    Ask(Asked),
-    Answer(u16, String),
+/// The gate, and the sockets behind what it decides on.
+struct Door {
+    gate: Gate,
+    streams: HashMap<ConnectionId, Arc<TcpStream>>,
+    begin: Instant,
 }
 
-fn problem(status: u16, reason: &str) -> Routed {
-    Routed::Answer(status, serde_json::json!({ "error": reason }).to_string())
+impl Door {
+    fn now(&self) -> Millis {
+        Millis(self.begin.elapsed().as_millis() as u64)
+    }
 }
 
-fn route(method: &str, target: &str, body: &[u8]) -> Routed {
-    let path = target.split('?').next().unwrap_or("");
-    let allow = |wanted: &str, routed: &dyn Fn() -> Routed| {
-        if method == wanted {
-            routed()
-        } else {
-            problem(405, "method not allowed")
-        }
-    };
-    match path {
-        "/up" => return allow("GET", &|| Routed::Ask(Asked::User(Ask::Up))),
-        "/hello" => {
-            return allow("POST", &|| match serde_json::from_slice::<Report>(body) {
-                Ok(report) => Routed::Ask(Asked::Report(Box::new(report))),
-                Err(error) => {
-                    tracing::warn!("a report makes no sense: {error}");
-                    problem(400, "not a report")
-                }
-            })
-        }
-        "/v2/runs" => {
-            return allow("POST", &|| match JobSpec::parse(body) {
-                Ok(spec) => Routed::Ask(Asked::User(Ask::Submit(Box::new(spec)))),
-                Err(reason) => problem(400, &reason),
-            })
-        }
-        _ => {}
+/// Lets connections in, and keeps count of them until their threads end.
+#[derive(Clone)]
+struct Front(Arc<Mutex<Door>>);
+
+impl Front {
+    fn new(plan: Plan) -> Front {
+        let door = Door { gate: Gate::new(plan), streams: HashMap::new(), begin: Instant::now() };
+        Front(Arc::new(Mutex::new(door)))
     }
-    let Some(rest) = path.strip_prefix("/v2/runs/") else { return problem(404, "no such path") };
-    let (id, cancel) = match rest.split_once('/') {
-        None => (rest, false),
-        Some((id, "withdraw")) => (id, true),
-        Some(_) => return problem(404, "no such path"),
-    };
-    let known = valid_job_ref(id);
-    allow(if cancel { "POST" } else { "GET" }, &|| match (known, cancel) {
-        (false, true) => problem(400, "not a job id"),
-        (false, false) => problem(404, "no such job"),
-        (true, true) => Routed::Ask(Asked::User(Ask::Cancel(JobRef::new(id)))),
-        (true, false) => Routed::Ask(Asked::User(Ask::Query(JobRef::new(id)))),
-    })
-}
 
-fn json(value: &impl Serialize) -> String {
-    serde_json::to_string(value).unwrap_or_default()
-}
+    /// A thread that panicked has changed nothing by halves.
+    fn door(&self) -> MutexGuard<'_, Door> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 
-/// Status, body and `Retry-After` of a reply.
-fn render(reply: &Reply) -> (u16, String, Option<u32>) {
-    match reply {
-        Reply::Up => (200, "{}".into(), None),
-        Reply::Job { status, id, state, counts } => {
-            let (done, running) = counts.unzip();
-            (*status, json(&JobAnswer { id, state: *state, done, running }), None)
+    /// Takes a connection, if there is room, and closes another if need be.
+    fn arrived(&self, stream: &Arc<TcpStream>) -> Option<ConnectionId> {
+        let from = stream.peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |addr| addr.ip());
+        let mut door = self.door();
+        let now = door.now();
+        let arrival = door.gate.arrived(from, now);
+        if let Some(stream) = arrival.leave.and_then(|id| door.streams.get(&id)) {
+            // Its thread wakes with an end of file, and ends.
+            let _ = stream.shutdown(Shutdown::Both);
         }
-        Reply::Problem { status, reason, retry_after_s } => {
-            (*status, serde_json::json!({ "error": reason }).to_string(), *retry_after_s)
+        match arrival.taken {
+            Ok(id) => {
+                door.streams.insert(id, stream.clone());
+                Some(id)
+            }
+            Err(why) => {
+                tracing::debug!("a connection from {from} is refused: {why:?}");
+                None
+            }
         }
-        Reply::Commands { token, commands } => (200, json(&ReportAnswer { token: *token, commands }), None),
-        Reply::Elsewhere(node) => (421, json(&GoElsewhere { report_to: node.as_ref().map(|n| n.as_str()) }), None),
     }
-}
 
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        201 => "Created",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        421 => "Misdirected Request",
-        422 => "Unprocessable Content",
-        _ => "Service Unavailable",
+    fn asked(&self, id: ConnectionId, by: Role) -> Keep {
+        let mut door = self.door();
+        let now = door.now();
+        door.gate.asked(id, by, now)
+    }
+
+    fn answered(&self, id: ConnectionId) {
+        let mut door = self.door();
+        let now = door.now();
+        door.gate.answered(id, now);
+    }
+
+    fn ended(&self, id: ConnectionId) {
+        let mut door = self.door();
+        door.gate.ended(id);
+        door.streams.remove(&id);
     }
 }
 
-fn write(
-    connection: &mut Connection,
-    status: u16,
-    body: &str,
-    retry: Option<u32>,
-    close: bool,
-) -> Result<(), HttpError> {
-    let retry = retry.map(|s| format!("Retry-After: {s}\r\n")).unwrap_or_default();
-    let close = if close { "Connection: close\r\n" } else { "" };
-    let text = format!(
-        "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\n{retry}{close}Content-Length: {}\r\n\r\n{body}",
-        reason(status),
-        body.len()
-    );
-    connection.write(text.as_bytes(), WHOLE)
+/// Tells a peer that there is no room, and when to come back.
+fn refuse(stream: Arc<TcpStream>) {
+    let body = r#"{"error":"too many connections"}"#;
+    let _ = write(&mut Connection::new(stream), 503, body, Some(1), true, REFUSE_WITHIN);
 }
 
-fn serve(stream: TcpStream, engine: &SyncSender<Event>, crowded: impl Fn() -> bool) -> Result<(), HttpError> {
+fn serve(stream: Arc<TcpStream>, id: ConnectionId, front: &Front, engine: &SyncSender<Event>) -> Result<(), HttpError> {
     let mut connection = Connection::new(stream);
     let (answers, answered) = sync_channel(1);
+    let mut patience = FIRST;
     loop {
-        let (head, body) = match connection.read(true, IDLE, WHOLE, BODY_LIMIT) {
+        let (head, body) = match connection.read(true, patience, WHOLE, BODY_LIMIT) {
             Ok(message) => message,
             Err(error @ (HttpError::TooLarge | HttpError::Malformed(_))) => {
                 let body = serde_json::json!({ "error": error.to_string() }).to_string();
-                return write(&mut connection, 400, &body, None, true);
+                return write(&mut connection, 400, &body, None, true, WHOLE);
             }
             Err(error) => return Err(error),
         };
+        patience = IDLE;
+        let by = if of_worker(&head.path) { Role::Worker } else { Role::User };
+        let last = match front.asked(id, by) {
+            Keep::Open => false,
+            Keep::Last => true,
+            Keep::Refused(_) => {
+                let body = r#"{"error":"too many connections"}"#;
+                return write(&mut connection, 503, body, Some(1), true, WHOLE);
+            }
+        };
+        let close = head.close || last;
         match route(&head.method, &head.path, &body) {
-            Routed::Answer(status, body) => write(&mut connection, status, &body, None, head.close)?,
+            Routed::Answer(status, body) => write(&mut connection, status, &body, None, close, WHOLE)?,
             Routed::Ask(asked) => {
-                // With few connections left, users' are not kept between
-                // requests: workers must find one however many users ask.
-                let close = head.close || matches!(asked, Asked::User(_)) && crowded();
                 let sent = engine.try_send(Event::Asked(asked, answers.clone())).is_ok();
                 let reply = if sent { answered.recv_timeout(ANSWER_WITHIN).ok() } else { None };
-                match reply {
-                    Some(reply) => {
-                        let (status, body, retry) = render(&reply);
-                        write(&mut connection, status, &body, retry, close)?;
-                        if close {
-                            return Ok(());
-                        }
-                    }
+                let Some(reply) = reply else {
                     // Overloaded; a late answer must not be taken for the next one.
-                    None => return write(&mut connection, 503, r#"{"error":"overloaded"}"#, Some(1), true),
-                }
+                    return write(&mut connection, 503, r#"{"error":"overloaded"}"#, Some(1), true, WHOLE);
+                };
+                let (status, body, retry) = render(&reply);
+                write(&mut connection, status, &body, retry, close, WHOLE)?;
             }
         }
-        if head.close {
+        if close {
             return Ok(());
         }
+        front.answered(id);
     }
 }
 
 /// Accepts connections for as long as the process lives.
-pub fn listen(listener: TcpListener, most: usize, engine: SyncSender<Event>) {
-    let open = Arc::new(AtomicUsize::new(0));
+pub fn listen(listener: TcpListener, plan: Plan, engine: SyncSender<Event>) {
+    let front = Front::new(plan);
     for stream in listener.incoming() {
         let Ok(stream) = stream else {
             std::thread::sleep(Duration::from_millis(20));
             continue;
         };
-        if open.load(Ordering::Relaxed) >= most {
-            let mut connection = Connection::new(stream);
-            let _ = write(&mut connection, 503, r#"{"error":"too many connections"}"#, Some(1), true);
+        let stream = Arc::new(stream);
+        let Some(id) = front.arrived(&stream) else {
+            refuse(stream);
             continue;
-        }
-        open.fetch_add(1, Ordering::Relaxed);
-        let (counter, engine) = (open.clone(), engine.clone());
+        };
+        let (its_front, its_stream, engine) = (front.clone(), stream.clone(), engine.clone());
         let thread = std::thread::Builder::new().stack_size(STACK).spawn(move || {
-            let crowded = || counter.load(Ordering::Relaxed) > most / 4 * 3;
-            if let Err(error) = serve(stream, &engine, crowded) {
+            if let Err(error) = serve(its_stream, id, &its_front, &engine) {
                 tracing::debug!("a connection ended: {error}");
             }
-            counter.fetch_sub(1, Ordering::Relaxed);
+            its_front.ended(id);
         });
-        if thread.is_err() {
-            open.fetch_sub(1, Ordering::Relaxed);
+        if let Err(error) = thread {
+            tracing::warn!("no thread for a connection: {error}");
+            front.ended(id);
+            refuse(stream);
         }
     }
 }
@@ -193,6 +171,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::coordination::Reply;
     use std::io::{Read, Write};
 
     /// Sends a request to a crowded node and says whether it may send another.
@@ -206,7 +185,18 @@
                 let _ = answer.send(Reply::Up);
             }
         });
-        std::thread::spawn(move || serve(stream, &engine, || true));
+        let front = Front::new(Plan { connections: 4, crowded: 2, strangers: 8, workers: 1 });
+        let stream = Arc::new(stream);
+        // Others are there already.
+        let others: Vec<_> = (0..3).map(|_| front.arrived(&stream)).collect();
+        assert!(others.iter().flatten().all(|other| front.asked(*other, Role::Worker) == Keep::Open));
+        let id = front.arrived(&stream).expect("room for one more");
+        std::thread::spawn(move || {
+            let _ = serve(stream, id, &front, &engine);
+            front.ended(id);
+            // The other end hears of it when the last handle is dropped.
+            others.into_iter().flatten().for_each(|other| front.ended(other));
+        });
         client.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
         client.write_all(request.as_bytes()).unwrap();
         let mut answer = vec![];
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -186,9 +186,12 @@
     }
 }
 
-fn start(config: &std::path::Path) -> Process {
+fn start(config: &std::path::Path, tuning: Option<&std::path::Path>) -> Process {
+    let tuning = tuning.into_iter().flat_map(|file| ["--tuning".as_ref(), file.as_os_str()]);
     let child = Command::new(env!("CARGO_BIN_EXE_tillercleat"))
-        .args(["run", "--config"])
+        .arg("run")
+        .args(tuning)
+        .arg("--config")
         .arg(config)
         .stderr(Stdio::null())
         .spawn()
@@ -213,18 +216,23 @@
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
 }
 
-#[test]
-fn the_binary_runs_a_job_and_survives_a_kill() {
-    let client_addr = free_port();
-    let config = json!({
+/// One controller's settings, with a state service and a cloud of their own.
+fn settings(client_addr: SocketAddr, fd_limit: usize) -> Value {
+    json!({
         "label": "n0", "domain": "a", "client_listen": client_addr.to_string(),
         "internal_addr": free_port().to_string(), "known": [],
         "external": {"cloud": cloud(vec![client_addr]).to_string(), "state": state_service().to_string()},
         "cluster": {"teams": [{"name": "red"}],
             "workers": {"report_s": 0.2, "lease_s": 3.0, "cancel_s": 12.0},
             "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 8.0, "txn_ops": 12},
-            "cloud": {"rps": 5.0, "list_lag_s": 30.0}, "quota": {"ram_mb": 64.0, "fd_limit": 200}}
-    });
+            "cloud": {"rps": 5.0, "list_lag_s": 30.0}, "quota": {"ram_mb": 64.0, "fd_limit": fd_limit}}
+    })
+}
+
+#[test]
+fn the_binary_runs_a_job_and_survives_a_kill() {
+    let client_addr = free_port();
+    let config = settings(client_addr, 200);
     let path = std::env::temp_dir().join(format!("tillercleat-{}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).expect("a settings file");
     let job = |id: &str, crew: &str| {
@@ -233,7 +241,7 @@
             "apart": false, "driftwood": true, "reckon_s": 1.0, "mark_s": 0.0, "stow_s": 0.0, "tide_s": null})
         .to_string()
     };
-    let mut process = start(&path);
+    let mut process = start(&path, None);
     wait_for("becoming healthy", || call(client_addr, "GET", "/up", "").is_some_and(|(s, _)| s == 200));
     let status = |method: &str, path: &str, body: &str| call(client_addr, method, path, body).map(|a| a.0);
     assert_eq!(status("POST", "/v2/runs", "[1]"), Some(400));
@@ -251,13 +259,67 @@
     wait_for("the first job", || done("wk-000001"));
     assert_eq!(status("POST", "/v2/runs", &job("wk-000002", "red")), Some(201));
     drop(process);
-    process = start(&path);
+    process = start(&path, None);
     wait_for("the second job after a kill", || done("wk-000002"));
     assert!(done("wk-000001"), "a job that was done is done");
     drop(process);
     let _ = std::fs::remove_file(&path);
 }
 
+/// Threads of a process, as the system counts them.
+#[cfg(target_os = "linux")]
+fn threads(process: &Process) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.0.id())).expect("the process lives");
+    let line = status.lines().find_map(|line| line.strip_prefix("Threads:")).expect("a count of threads");
+    line.trim().parse().expect("a number")
+}
+
+/// 2,700 half-open connections took 2,014 threads of the 2,000 that a process
+/// may have: it could have ended for want of one more. Workers must find a way
+/// in all the while, and users again once the flood has passed.
+#[test]
+#[cfg(target_os = "linux")]
+fn a_flood_beyond_the_threads_ends_nothing_and_keeps_workers() {
+    const CEILING: usize = 48;
+    let client_addr = free_port();
+    let file = |end: &str| std::env::temp_dir().join(format!("tillercleat-flood-{}.{end}", std::process::id()));
+    let (path, tuning) = (file("json"), file("toml"));
+    std::fs::write(&path, settings(client_addr, 4000).to_string()).expect("a settings file");
+    std::fs::write(&tuning, format!("threads = {CEILING}\n")).expect("a tuning file");
+    let process = start(&path, Some(&tuning));
+    let up = || call(client_addr, "GET", "/up", "").map(|answer| answer.0);
+    wait_for("becoming healthy", || up() == Some(200));
+
+    let mut worker = Client::new(client_addr);
+    let mut tally = 0;
+    let mut report = |worker: &mut Client| {
+        tally += 1;
+        let report = json!({"deck": "i-000002", "endpoint": "127.0.0.1:1", "hull": "m", "berth": "a",
+            "watch": 1, "tally": tally, "helm": 0, "loads": []});
+        worker.call("POST", "/hello", report.to_string().as_bytes(), SECOND).map(|answer| answer.0).ok()
+    };
+    assert!(matches!(report(&mut worker), Some(200 | 421)));
+    let mut flood = vec![];
+    for wave in 0..6 {
+        for _ in 0..80 {
+            flood.extend(std::net::TcpStream::connect_timeout(&client_addr, SECOND));
+        }
+        assert!(threads(&process) <= CEILING, "{} threads in wave {wave}", threads(&process));
+        // One that was there goes on, whatever knocks.
+        assert!(matches!(report(&mut worker), Some(200 | 421)), "a worker lost its connection in wave {wave}");
+        // One that comes gets in before long.
+        wait_for("a new worker", || matches!(report(&mut Client::new(client_addr)), Some(200 | 421)));
+    }
+    assert!(flood.len() > 400, "the flood was no flood: {}", flood.len());
+    drop(flood);
+    wait_for("users after the flood", || (0..20).all(|_| up() == Some(200)));
+    assert!(threads(&process) <= CEILING);
+    drop(process);
+    for file in [path, tuning] {
+        let _ = std::fs::remove_file(file);
+    }
+}
+
 #[test]
 fn bad_settings_end_with_one_line() {
     let path = std::env::temp_dir().join(format!("tillercleat-bad-{}.json", std::process::id()));
