--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -24,9 +24,6 @@
 /// For how long a machine is paid for, usually.
 const PAID_FOR_S: f64 = 300.0;
 
-/// Names of returned machines remembered in the record.
-const MOST_GONE: usize = 60;
-
 /// A rental on its way.
 #[derive(Debug, Clone)]
 pub struct Rent {
@@ -98,12 +95,24 @@
     (jobs.iter().map(|(cpus, run)| cpus * cpus * run).sum::<f64>() / time.max(1.0)).sqrt()
 }
 
-/// Machines on their way out that a record of `value_kb` KiB holds, beside
-/// those that are gone.
-fn most_named(value_kb: f64) -> usize {
-    /// Bytes of a name with quotes and comma, with room to spare.
-    const NAME_BYTES: f64 = 24.0;
-    ((value_kb * 1024.0 * 0.9 / NAME_BYTES) as usize).saturating_sub(MOST_GONE).max(1)
+/// How many machines the record of a fleet may name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Names {
+    /// On their way out.
+    drain: usize,
+    /// Returned of late.
+    gone: usize,
+}
+
+impl Names {
+    /// What a value of `value_kb` KiB holds: of a large fleet not all.
+    fn within(value_kb: f64) -> Names {
+        /// Bytes of a name with quotes and comma, with room to spare.
+        const NAME_BYTES: f64 = 24.0;
+        let all = (value_kb * 1024.0 * 0.9 / NAME_BYTES) as usize;
+        let gone = (all / 4).max(1);
+        Names { drain: all.saturating_sub(gone).max(1), gone }
+    }
 }
 
 impl Fleet {
@@ -728,9 +737,9 @@
         let before = record.clone();
         // Of a large fleet only so many fit into one record; the rest are
         // named when these are gone.
-        let most = most_named(self.settings.cluster.state.value_kb);
+        let most = Names::within(self.settings.cluster.state.value_kb);
         for (name, owned) in &self.cloud.machines {
-            if record.drain.len() >= most {
+            if record.drain.len() >= most.drain {
                 break;
             }
             if owned.drain_since.is_some() && !self.cloud.drained.contains(name) && !record.drain.contains(name) {
@@ -747,9 +756,9 @@
         if self.cloud.known {
             record.drain.retain(|n| self.cloud.machines.contains_key(n));
         }
-        let over = record.gone.len().saturating_sub(MOST_GONE);
+        let over = record.gone.len().saturating_sub(most.gone);
         record.gone.drain(..over);
-        while self.cloud.gone.len() > MOST_GONE / 2 {
+        while self.cloud.gone.len() > most.gone {
             self.cloud.gone.pop_first();
         }
         if record != before {
@@ -775,7 +784,8 @@
                 names.push(name.clone());
             }
         }
-        names.truncate(RETURN_LIMIT);
+        // Owners learn from the record which are gone: no more than it holds.
+        names.truncate(RETURN_LIMIT.min(Names::within(self.settings.cluster.state.value_kb).gone));
         if !names.is_empty() && self.afford_cloud() {
             self.cloud.returning = true;
             self.call_cloud(CloudCall::Return(names.clone()), Pending::Return(names));
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -126,6 +126,7 @@
         }
         self.ready_parts();
         tracing::info!("read {} records up to revision {first}", seen.len());
+        self.reached(Milestone::RecordsRead);
     }
 
     pub(super) fn watch_answer(&mut self, sent: Time, answer: StateAnswer) {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -17,6 +17,7 @@
 mod rounds;
 pub mod scoring;
 mod seats;
+mod starting;
 mod users;
 mod waiting;
 mod withdrawing;
@@ -34,6 +35,7 @@
 use crate::units::{CallId, JobRef, LeaseId, MachineId, NodeName, PartId, RequestId, Revision, Span, Time, Token};
 use part::Mine;
 use queries::{Queries, Question};
+use starting::Milestone;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How often controllers tell one another how they are.
@@ -282,6 +284,7 @@
     learned: learned::Learned,
     queries: Queries,
     withdrawal: withdrawing::Withdrawal,
+    start: starting::Start,
     /// Notes told so far.
     told: u64,
 }
@@ -334,6 +337,7 @@
             learned: learned::Learned::default(),
             queries: Queries::default(),
             withdrawal: withdrawing::Withdrawal::default(),
+            start: starting::Start::default(),
             told: 0,
         }
     }
@@ -380,6 +384,7 @@
 
     fn tick(&mut self) {
         self.tick_membership();
+        self.look_for_milestones();
         if self.now >= self.next_housekeeping {
             self.next_housekeeping = self.now + Span(500);
             self.housekeeping();
--- /dev/null
+++ b/src/coordination/starting.rs
@@ -0,0 +1,106 @@
+//! How a start goes: when each thing that users wait for was reached.
+//!
+//! After all controllers end, what counts is how soon submissions are taken and
+//! tasks start again. Each milestone is logged once a life, at `info`, with the
+//! time since this life began, so that a slow start can be told from its log.
+
+use super::*;
+
+/// Share of the machines named in the records of our parts that must have
+/// reported for our workers to count as held: some are gone for good.
+const HELD: f64 = 0.9;
+
+/// What a start reaches, in the usual order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Milestone {
+    /// All durable records are in the view.
+    RecordsRead,
+    /// Users' submissions can be judged and written.
+    CanTake,
+    /// A part is ours and ready to work.
+    PartReady,
+    /// Most machines that our parts' records name have reported.
+    WorkersHeld,
+    /// A submission was accepted.
+    Accepted,
+    /// A task's start was sent.
+    StartSent,
+}
+
+impl Milestone {
+    fn name(self) -> &'static str {
+        match self {
+            Milestone::RecordsRead => "records read",
+            Milestone::CanTake => "can take submissions",
+            Milestone::PartReady => "first part ready",
+            Milestone::WorkersHeld => "workers held",
+            Milestone::Accepted => "first submission accepted",
+            Milestone::StartSent => "first start sent",
+        }
+    }
+}
+
+/// Milestones reached by this life of the node, and when.
+#[derive(Debug, Default)]
+pub(super) struct Start {
+    /// When the first input came.
+    began: Option<Time>,
+    reached: BTreeMap<Milestone, Span>,
+}
+
+impl Start {
+    fn reach(&mut self, what: Milestone, now: Time) {
+        let began = *self.began.get_or_insert(now);
+        if self.reached.contains_key(&what) {
+            return;
+        }
+        let after = now.since(began);
+        self.reached.insert(what, after);
+        tracing::info!("start: {} after {:.2} s", what.name(), after.as_secs());
+    }
+}
+
+impl Core {
+    pub(super) fn reached(&mut self, what: Milestone) {
+        self.start.reach(what, self.now);
+    }
+
+    /// Looks for what is reached without anybody's doing; nothing once all is.
+    pub(super) fn look_for_milestones(&mut self) {
+        let now = self.now;
+        self.start.began.get_or_insert(now);
+        if !self.start.reached.contains_key(&Milestone::CanTake) && self.can_take() {
+            self.reached(Milestone::CanTake);
+        }
+        if !self.start.reached.contains_key(&Milestone::PartReady) && self.mine.values().any(|m| m.ready) {
+            self.reached(Milestone::PartReady);
+        }
+        if !self.start.reached.contains_key(&Milestone::WorkersHeld) && self.workers_held() {
+            self.reached(Milestone::WorkersHeld);
+        }
+    }
+
+    fn workers_held(&self) -> bool {
+        let ready = self.mine.values().filter(|m| m.ready);
+        let (mut named, mut heard) = (0, 0);
+        for mine in ready {
+            named += mine.on.len();
+            heard += mine.on.keys().filter(|name| mine.machines.contains_key(*name)).count();
+        }
+        heard > 0 && heard as f64 >= HELD * named as f64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_milestone_counts_from_the_first_input_and_once() {
+        let mut start = Start::default();
+        start.began = Some(Time(500));
+        start.reach(Milestone::RecordsRead, Time(900));
+        start.reach(Milestone::RecordsRead, Time(5000));
+        assert_eq!(start.reached[&Milestone::RecordsRead], Span(400));
+    }
+}
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -28,7 +28,7 @@
 
     /// True if submissions can be judged and the records can be reached, or
     /// if nobody seems to reach them: then it is not this node's trouble.
-    fn can_take(&self) -> bool {
+    pub(super) fn can_take(&self) -> bool {
         let reached = self.last_state_answer.is_some_and(|at| self.now.since(at) < Span(3000));
         let others_reach =
             self.peers.values().any(|p| p.state_reachable && p.heard.is_some_and(|at| self.now.since(at) < Span(3000)));
@@ -150,6 +150,7 @@
             StateAnswer::Committed(revision) => {
                 self.committed(&txn, revision);
                 self.nudge(revision);
+                self.reached(Milestone::Accepted);
                 self.answer_job(request, 201, &spec.id, None);
             }
             // Known already, or our own transaction after all.
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -157,6 +157,9 @@
         for (key, attempt) in gone {
             self.set_task(&key, TaskRecord::Idle(attempt));
         }
+        if !starts.is_empty() {
+            self.reached(Milestone::StartSent);
+        }
         for (key, attempt) in starts {
             self.remember_image(part, &report.machine, &key.0);
             if let Some(machine) = self.mine.get_mut(&part).and_then(|m| m.machines.get_mut(&report.machine)) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,5 +1,6 @@
 //! The rules of the protocol, under generated schedules of trouble.
 
+#[allow(dead_code)]
 mod standin;
 
 use proptest::prelude::*;
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -153,6 +153,9 @@
     }
 }
 
+/// The most that a value may take, in KiB.
+const VALUE_KB: usize = 8;
+
 /// Changes that the state service remembers for watches.
 const MOST_CHANGES: usize = 10_000;
 
@@ -214,6 +217,8 @@
     State(usize, u32, CallId, StateCall, u64),
     Cloud(usize, u32, CallId, CloudCall),
     ReportTimer(usize),
+    /// A worker tries the next node, its report of this number having failed.
+    TryNext(usize, u64),
     Report(usize, u32, usize, Report),
     Answer(usize, u64, Reply, u64),
     Restart(usize),
@@ -242,6 +247,8 @@
     /// Calls refused for being too many.
     pub limited: usize,
     page: usize,
+    /// The most bytes of a value.
+    most_bytes: usize,
     /// Changes asked for and requests made, by second.
     pub writes: BTreeMap<u64, usize>,
     pub requests: BTreeMap<u64, usize>,
@@ -270,6 +277,11 @@
                 }
             }
         }
+        let too_large =
+            |c: &Change| matches!(c, Change::Put { value, .. } if value.to_string().len() > self.most_bytes);
+        if self.buckets.is_some() && txn.changes.iter().any(too_large) {
+            return StateAnswer::Rejected("value too large".into());
+        }
         let version = |key: &str| self.rows.get(key).map_or(0, |r| r.1);
         let failed: Vec<String> =
             txn.conditions.iter().filter(|c| version(&c.key) != c.version.0).map(|c| c.key.clone()).collect();
@@ -456,7 +468,7 @@
                 "lease_s": lease_s,
                 "cancel_s": shape.cancel_ms as f64 / 1000.0
             },
-            "state": {"rps": shape.rps, "write_rps": shape.write_rps, "value_kb": 8.0, "txn_ops": 12},
+            "state": {"rps": shape.rps, "write_rps": shape.write_rps, "value_kb": VALUE_KB, "txn_ops": 12},
             "cloud": {"rps": 5.0, "list_lag_s": 2.0},
             "quota": {"ram_mb": 56.0, "fd_limit": 800}
         }
@@ -480,6 +492,7 @@
         let state = StateService {
             buckets: shape.strict.then(|| (Bucket::new(shape.rps), Bucket::new(shape.write_rps))),
             page: shape.page,
+            most_bytes: VALUE_KB * 1024,
             ..StateService::default()
         };
         let mut world = World {
@@ -618,9 +631,27 @@
                 let answer = self.cloud_call(call);
                 self.at(self.now + 50, Due::ToNode(node, life, Input::Cloud(id, answer)));
             }
-            Due::ReportTimer(worker) => self.send_report(worker),
+            Due::ReportTimer(worker) => {
+                if self.workers[worker].alive {
+                    let (report_ms, spread) = (self.shape.report_ms, worker as u64 % 7);
+                    self.at(self.now + report_ms * 3 / 4 + spread * (report_ms * 3 / 50), Due::ReportTimer(worker));
+                    self.send_report(worker);
+                }
+            }
+            Due::TryNext(worker, flight) => {
+                let nodes = self.nodes.len();
+                let w = &mut self.workers[worker];
+                if w.alive && w.flight.is_some_and(|(number, _)| number == flight) {
+                    w.flight = None;
+                    w.node = (w.node + 1) % nodes;
+                    self.send_report(worker);
+                }
+            }
             Due::Report(node, life, worker, report) => {
-                if self.nodes[node].life == life && self.nodes[node].core.is_some() {
+                if self.nodes[node].life != life || self.nodes[node].core.is_none() {
+                    // Refused or reset: the next node, a second later.
+                    self.at(self.now + 1000, Due::TryNext(worker, report.seq.0));
+                } else {
                     self.last_request += 1;
                     let id = RequestId(self.last_request);
                     self.requests.insert((node, id), Asked::Worker(worker, report.seq.0));
@@ -825,13 +856,6 @@
     }
 
     fn send_report(&mut self, index: usize) {
-        if !self.workers[index].alive {
-            return;
-        }
-        self.at(
-            self.now + self.shape.report_ms * 3 / 4 + index as u64 % 7 * (self.shape.report_ms * 3 / 50),
-            Due::ReportTimer(index),
-        );
         if self.now < self.workers[index].hung_until {
             return;
         }
@@ -842,12 +866,10 @@
             self.check_cancelled();
         }
         let now = self.now;
-        let nodes = self.nodes.len();
         let worker = &mut self.workers[index];
-        match worker.flight {
-            Some((_, sent)) if now < sent + 4000 => return,
-            Some(_) => worker.node = (worker.node + 1) % nodes,
-            None => {}
+        // One at a time.
+        if worker.flight.is_some() {
+            return;
         }
         worker.seq += 1;
         worker.flight = Some((worker.seq, now));
@@ -870,7 +892,8 @@
             notice_s: None,
             tasks: tasks.collect(),
         };
-        let (node, zone) = (worker.node, worker.zone);
+        let (node, zone, flight) = (worker.node, worker.zone, worker.seq);
+        self.at(now + 5000, Due::TryNext(index, flight));
         let life = self.nodes[node].life;
         match self.cuts.get(&(node, zone)) {
             Some(&(until, true)) if now < until => self.at(until + 1, Due::Report(node, life, index, report)),
@@ -1160,6 +1183,16 @@
         self.at(at, Due::Poll(job.clone()));
     }
 
+    /// Jobs whose users were told that they are accepted.
+    pub fn accepted(&self) -> usize {
+        self.jobs.values().filter(|j| j.accepted).count()
+    }
+
+    /// Machines that are paid for.
+    pub fn alive(&self) -> usize {
+        self.workers.iter().filter(|w| w.alive).count()
+    }
+
     /// Machines rented so far.
     pub fn rented(&self) -> usize {
         self.workers.len()
