--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -16,7 +16,7 @@
 
 /// Seats that a round scores before it looks only at jobs with room now, and
 /// before it ends: its length must not grow with machines times waiting jobs.
-const MOST_SCORES: usize = 16_000;
+const MOST_SCORES: usize = 64_000;
 const LAST_SCORES: usize = 3 * MOST_SCORES;
 
 /// Machines that fetch images at least this share as fast as the fastest hold the reserve.
--- a/src/coordination/starting.rs
+++ b/src/coordination/starting.rs
@@ -97,8 +97,7 @@
 
     #[test]
     fn a_milestone_counts_from_the_first_input_and_once() {
-        let mut start = Start::default();
-        start.began = Some(Time(500));
+        let mut start = Start { began: Some(Time(500)), ..Start::default() };
         start.reach(Milestone::RecordsRead, Time(900));
         start.reach(Milestone::RecordsRead, Time(5000));
         assert_eq!(start.reached[&Milestone::RecordsRead], Span(400));
