Coordination split by what its files own; parts, keeping and workers no longer in a circle

Change: mine.rs holds an owner's data; writing.rs makes changes durable, allowances.rs shares limits, calls.rs and catalog.rs leave mod.rs, buying.rs becomes demand, buying, fleet and returning. Nothing else is changed: code moved as it stood.

--- /dev/null
+++ b/src/coordination/allowances.rs
@@ -0,0 +1,109 @@
+//! Shares of teams' limits: what each part may use, and moving what one does
+//! not need to another that lacks it. The shares never sum above the limit.
+
+use super::mine::Mine;
+use super::*;
+use crate::bookkeeping::records::{allowance_key, owner_key, AllowanceRecord};
+
+/// True if a transaction moves allowance between parts.
+pub(super) fn is_gift(txn: &Txn) -> bool {
+    txn.changes.iter().any(|c| matches!(records::Key::read(change_key(c)), Some(records::Key::Allowance(_))))
+}
+
+impl Core {
+    /// A part's share of a team's limit; none: no limit.
+    pub(super) fn allowance(&self, part: PartId, team: &str) -> (Option<f64>, Option<f64>) {
+        let Some(limits) = self.settings.cluster.teams.iter().find(|t| t.name == team) else { return (None, None) };
+        let stored = self.view.allowances.get(&part).and_then(|h| h.record.as_ref()).and_then(|r| r.teams.get(team));
+        let share = |max: f64| (max / f64::from(self.parts) * 1000.0).floor() / 1000.0;
+        let (mut cpus, mut gpus) = stored.copied().unwrap_or((share(limits.cpus_max), share(limits.gpus_max)));
+        if let Some(left) = self.mine.get(&part).and_then(|m| m.giving.as_ref()).and_then(|g| g.teams.get(team)) {
+            cpus = cpus.min(left.0);
+            gpus = gpus.min(left.1);
+        }
+        ((limits.cpus_max > 0.0).then_some(cpus), (limits.gpus_max > 0.0).then_some(gpus))
+    }
+
+    /// All teams' allowances of a part, as a record.
+    pub(super) fn allowances(&self, part: PartId) -> AllowanceRecord {
+        let teams = &self.settings.cluster.teams;
+        let entry = |name: &str| {
+            let (cpus, gpus) = self.allowance(part, name);
+            (name.to_string(), (cpus.unwrap_or(0.0), gpus.unwrap_or(0.0)))
+        };
+        AllowanceRecord { teams: teams.iter().map(|t| entry(&t.name)).collect() }
+    }
+
+    /// Gives allowance that a part of ours does not need to a part that lacks
+    /// it, in one transaction conditional on both records and on ownership.
+    pub(super) fn share_allowances(&mut self) {
+        let mut wants: BTreeMap<PartId, BTreeMap<String, (f64, f64)>> = BTreeMap::new();
+        for (part, mine) in &self.mine {
+            wants.insert(*part, mine.wanted.clone());
+        }
+        for peer in self.peers.values() {
+            let recent = peer.heard.is_some_and(|at| self.now.since(at) < Span(3000));
+            for load in peer.note.iter().filter(|_| recent).flat_map(|n| &n.parts) {
+                let teams = load.teams.iter().map(|t| (t.team.clone(), (t.wanted_cpus, t.wanted_gpus)));
+                wants.entry(PartId(load.part)).or_insert_with(|| teams.collect());
+            }
+        }
+        for part in self.mine.keys().copied().collect::<Vec<_>>() {
+            for (&to, teams) in wants.iter().filter(|(p, _)| **p != part) {
+                for (team, &(cpus, gpus)) in teams {
+                    if (cpus > 0.0 || gpus > 0.0) && self.give_allowance(part, to, team, (cpus, gpus)) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn give_allowance(&mut self, part: PartId, to: PartId, team: &str, want: (f64, f64)) -> bool {
+        let keys = [allowance_key(part), allowance_key(to)];
+        if keys.iter().any(|k| self.busy_keys.contains(k)) || !self.state_fresh() {
+            return false;
+        }
+        let limit = self.allowance(part, team);
+        let idle = |m: &&Mine| m.ready && !m.releasing && m.giving.is_none();
+        let Some(mine) = self.mine.get(&part).filter(idle) else { return false };
+        let used = mine.used.get(team).copied().unwrap_or_default();
+        let own = mine.wanted.get(team).copied().unwrap_or_default();
+        let token = mine.token;
+        let spare = |limit: Option<f64>, used: f64, own: f64| limit.map_or(0.0, |l| (l - used - own).max(0.0));
+        let gift =
+            (spare(limit.0, used.0, own.0).min(want.0).floor(), spare(limit.1, used.1, own.1).min(want.1).floor());
+        if gift.0 <= 0.0 && gift.1 <= 0.0 {
+            return false;
+        }
+        let (mut ours, mut theirs) = (self.allowances(part), self.allowances(to));
+        for (record, sign) in [(&mut ours, -1.0), (&mut theirs, 1.0)] {
+            if let Some(share) = record.teams.get_mut(team) {
+                share.0 += sign * gift.0;
+                share.1 += sign * gift.1;
+            }
+        }
+        let version = |view: &View, p: PartId| view.allowances.get(&p).map_or(Revision(0), |h| h.version);
+        let conditions = vec![
+            Condition { key: owner_key(part), version: Revision(token.0) },
+            Condition { key: keys[0].clone(), version: version(&self.view, part) },
+            Condition { key: keys[1].clone(), version: version(&self.view, to) },
+        ];
+        let (Ok(a), Ok(b)) = (serde_json::to_value(&ours), serde_json::to_value(&theirs)) else { return false };
+        if let Some(mine) = self.mine.get_mut(&part) {
+            mine.giving = Some(ours);
+        }
+        let [from_key, to_key] = keys;
+        self.simple_txn(Txn { conditions, changes: vec![Change::put(from_key, a), Change::put(to_key, b)] });
+        true
+    }
+
+    /// The outcome of gifts from or to these parts is in the view.
+    pub(super) fn end_gifts(&mut self, parts: &[PartId]) {
+        for part in parts {
+            if let Some(mine) = self.mine.get_mut(part) {
+                mine.giving = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/catalog.rs
@@ -0,0 +1,42 @@
+//! The machine types that the cloud offers, and the record of them for nodes
+//! that start while the cloud cannot be reached.
+
+use super::*;
+
+impl Core {
+    pub(super) fn refresh_catalog(&mut self) {
+        let known = !self.catalog.is_empty();
+        if known && !self.leading() {
+            return;
+        }
+        let pause = if known { 15.0 } else { 1.0 };
+        if self.catalog_at.is_none_or(|at| self.now.since(at) >= Span::secs(pause)) {
+            self.catalog_at = Some(self.now);
+            self.call_cloud(CloudCall::Catalog, Pending::Catalog);
+        }
+    }
+
+    /// A catalog from the cloud; the leader keeps its lasting parts in the
+    /// state service, so that a node that starts in a cloud outage knows them.
+    pub(super) fn take_catalog(&mut self, catalog: Catalog) {
+        self.catalog = catalog.types.iter().map(|t| (t.name.clone(), t.clone())).collect();
+        let same = self.view.catalog.record.as_ref().is_some_and(|old| {
+            let lasting = |c: &Catalog| {
+                c.types.iter().map(|t| (t.name.clone(), t.cpus, t.gpus, t.mem_gb, t.zones.clone())).collect::<Vec<_>>()
+            };
+            lasting(old) == lasting(&catalog)
+        });
+        if same || !self.leading() || self.busy_keys.contains(records::CATALOG_KEY) {
+            return;
+        }
+        let Ok(value) = serde_json::to_value(&catalog) else { return };
+        let conditions = vec![Condition { key: records::CATALOG_KEY.into(), version: self.view.catalog.version }];
+        self.simple_txn(Txn { conditions, changes: vec![Change::put(records::CATALOG_KEY.into(), value)] });
+    }
+
+    pub(super) fn catalog_changed(&mut self) {
+        if let (true, Some(stored)) = (self.catalog.is_empty(), &self.view.catalog.record) {
+            self.catalog = stored.types.iter().map(|t| (t.name.clone(), t.clone())).collect();
+        }
+    }
+}
--- a/src/coordination/keeping.rs
+++ b/src/coordination/keeping.rs
@@ -15,20 +15,11 @@
 //! - After a note has gone, the owner counts the time that a keeper may have
 //!   gone on without knowing, and a whole lease on top.
 
+use super::mine::Verdict;
 use super::*;
 use crate::bookkeeping::records::{keep_key, owner_key, NodeRecord};
 use crate::protocol::workers::{Command, Report, TaskState};
 
-/// Machines that seem to be gone, and the comparison that is to prove it.
-#[derive(Debug, Default)]
-pub(super) enum Verdict {
-    #[default]
-    None,
-    Asked(Vec<MachineId>),
-    /// Found at this revision; the view must reach it first.
-    Found(Revision, Vec<MachineId>),
-}
-
 impl Core {
     /// Owners are taken to be out of our reach when silent for so long: less
     /// than two of their notes would be chance.
--- a/src/coordination/learned.rs
+++ b/src/coordination/learned.rs
@@ -2,7 +2,7 @@
 //! the size of jobs that must start at once, and what fails.
 
 use super::failures::Failures;
-use super::part::{Machine, Mine, TaskKey};
+use super::mine::{Machine, Mine, TaskKey};
 use super::scoring::remaining;
 use super::*;
 use crate::bookkeeping::lifetimes::{History, Life};
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -1,6 +1,6 @@
 //! Who is alive, who owns which part, who leads, and keeping the view current.
 
-use super::part::Mine;
+use super::mine::Mine;
 use super::*;
 use crate::bookkeeping::records::{HolderRecord, NodeRecord, LEADER_KEY, ROOT};
 use crate::protocol::peer::{MachineAge, PartLoad};
--- /dev/null
+++ b/src/coordination/mine.rs
@@ -0,0 +1,113 @@
+//! What an owner knows of its part beyond the view: its machines, its tasks on
+//! them, and the changes that are not durable yet.
+
+use super::*;
+use crate::bookkeeping::records::{AllowanceRecord, JobRecord};
+use crate::protocol::workers::TaskState;
+use crate::units::{Attempt, Seq, Session};
+use foldhash::fast::FixedState;
+use std::collections::HashMap;
+
+/// A task within the view: its job and number.
+pub type TaskKey = (JobRef, u32);
+
+/// A machine that has reported to this owner.
+#[derive(Debug)]
+pub struct Machine {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: Session,
+    pub seq: Seq,
+    /// The worker has seen this owner's token: nothing an earlier owner sent
+    /// in answer to a report can take effect any more.
+    pub acked: bool,
+    pub last_report: Time,
+    pub born: Time,
+    /// Until when the cloud lets the machine live, if a notice came.
+    pub notice: Option<Time>,
+    /// What the newest report listed.
+    pub listed: BTreeMap<TaskKey, (Attempt, TaskState, Time)>,
+    /// The report that each start was last sent in answer to.
+    pub sent: BTreeMap<TaskKey, (Session, Seq)>,
+    /// Images the machine has or fetches, newest last, with their sizes.
+    pub images: Vec<(String, f64)>,
+    /// Jobs whose tasks failed here since one last succeeded.
+    pub failed_jobs: BTreeSet<JobRef>,
+    pub faulty: bool,
+    /// Takes nothing new until then: it failed several jobs of which it is not
+    /// known yet whether they run elsewhere.
+    pub rests_until: Time,
+}
+
+/// What an owner knows of its part beyond the view.
+#[derive(Debug)]
+pub struct Mine {
+    pub token: Token,
+    /// When ownership was learned of.
+    pub since: Time,
+    /// The view has caught up with the token: all earlier owners' records are in it.
+    pub ready: bool,
+    /// About to be handed over: nothing new is started.
+    pub releasing: bool,
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// Tasks wanted on each machine.
+    pub on: BTreeMap<MachineId, BTreeSet<TaskKey>>,
+    /// Slices with changes to write, since when.
+    pub dirty: BTreeMap<(JobRef, usize), Time>,
+    pub inflight: Option<CallId>,
+    pub rereads: usize,
+    pub retry_at: Time,
+    /// When somebody may last have kept machines of the part for us.
+    pub unkept: Time,
+    pub verdict: Verdict,
+    /// Tasks to be stopped, with the time they may take to save.
+    pub stopping: BTreeMap<TaskKey, f64>,
+    /// When each task was first reported to run.
+    pub running_since: HashMap<TaskKey, Time, FixedState>,
+    /// Team resources in use, and those missing for waiting tasks.
+    pub used: BTreeMap<String, (f64, f64)>,
+    pub wanted: BTreeMap<String, (f64, f64)>,
+    /// An allowance on its way to another part: what is left until that is known.
+    pub giving: Option<AllowanceRecord>,
+}
+
+impl Mine {
+    pub fn new(token: Token, now: Time) -> Mine {
+        Mine {
+            token,
+            since: now,
+            ready: false,
+            releasing: false,
+            machines: BTreeMap::new(),
+            on: BTreeMap::new(),
+            dirty: BTreeMap::new(),
+            inflight: None,
+            rereads: 0,
+            retry_at: Time(0),
+            unkept: now,
+            verdict: Verdict::None,
+            stopping: BTreeMap::new(),
+            running_since: HashMap::default(),
+            used: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            giving: None,
+        }
+    }
+
+    pub fn count(&mut self, record: &JobRecord, sign: f64) {
+        let used = self.used.entry(record.spec.team.clone()).or_default();
+        used.0 += sign * record.spec.cpus;
+        used.1 += sign * record.spec.gpus;
+    }
+}
+
+/// Machines that seem to be gone, and the comparison that is to prove it.
+#[derive(Debug, Default)]
+pub enum Verdict {
+    #[default]
+    None,
+    Asked(Vec<MachineId>),
+    /// Found at this revision; the view must reach it first.
+    Found(Revision, Vec<MachineId>),
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,19 +1,26 @@
 //! The core: a state machine without I/O, clocks or randomness. Inputs and
 //! the time go in; what to send, write and answer comes out.
 
+mod allowances;
 mod boots;
 mod buying;
+mod calls;
+mod catalog;
+mod demand;
 mod failures;
+mod fleet;
 mod keeping;
 mod leading;
 mod learned;
 mod membership;
+mod mine;
 mod openings;
 mod part;
 mod past;
 mod preempting;
 mod queries;
 mod queue;
+mod returning;
 mod rounds;
 pub mod scoring;
 mod seats;
@@ -22,10 +29,11 @@
 mod waiting;
 mod withdrawing;
 mod workers;
+mod writing;
 
 use crate::bookkeeping::budget::Budget;
 use crate::bookkeeping::records;
-use crate::bookkeeping::view::{Changed, View};
+use crate::bookkeeping::view::View;
 use crate::protocol::cloud::{Catalog, MachineNames, MachinePage, MachineType, RentRequest};
 use crate::protocol::peer::Note;
 use crate::protocol::state::{Change, Condition, StateAnswer, StateCall, Txn};
@@ -33,8 +41,9 @@
 use crate::protocol::workers::{Command, Report};
 use crate::settings::{Settings, Tuning};
 use crate::units::{CallId, JobRef, LeaseId, MachineId, NodeName, PartId, RequestId, Revision, Span, Time, Token};
-use part::Mine;
-use queries::{Queries, Question};
+use calls::{change_key, Call, Pending};
+use mine::Mine;
+use queries::Queries;
 use starting::Milestone;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -158,76 +167,6 @@
     }
 }
 
-/// What a call's answer will be used for.
-#[derive(Debug)]
-enum Pending {
-    Load {
-        seen: BTreeSet<String>,
-        first: Option<Revision>,
-    },
-    Watch,
-    /// Whether anybody keeps machines of the part.
-    Compare(PartId),
-    Grant,
-    Renew(LeaseId),
-    /// A transaction whose outcome the watch or a conflict read shows.
-    Simple(Txn),
-    PartTxn {
-        part: PartId,
-        txn: Txn,
-    },
-    /// Reads a key that a conflict named.
-    Reread {
-        key: String,
-        part: Option<PartId>,
-    },
-    SubmitWrite {
-        request: RequestId,
-        txn: Txn,
-        spec: Box<JobSpec>,
-    },
-    SubmitRead {
-        request: RequestId,
-        job: JobRef,
-        fresh: bool,
-    },
-    /// How far the records have come; these questions wait for it.
-    Probe(Vec<Question>),
-    /// Whether a job that has no record ended long ago; `known` if it was accepted once.
-    Past {
-        request: RequestId,
-        job: JobRef,
-        known: bool,
-    },
-    CancelRead {
-        request: RequestId,
-        job: JobRef,
-        tries: u32,
-    },
-    CancelWrite {
-        request: RequestId,
-        job: JobRef,
-        txn: Txn,
-        tries: u32,
-    },
-    RentName {
-        rent: buying::Rent,
-        txn: Txn,
-    },
-    Rent(buying::Rent),
-    Return(Vec<MachineId>),
-    List {
-        seen: Vec<crate::protocol::cloud::Listed>,
-    },
-    Catalog,
-}
-
-#[derive(Debug)]
-struct Call {
-    what: Pending,
-    sent: Time,
-}
-
 /// What another controller told last.
 #[derive(Debug, Default)]
 struct PeerState {
@@ -280,7 +219,7 @@
     next_deal: Time,
     catalog: BTreeMap<String, MachineType>,
     catalog_at: Option<Time>,
-    cloud: buying::Fleet,
+    cloud: fleet::Fleet,
     learned: learned::Learned,
     queries: Queries,
     withdrawal: withdrawing::Withdrawal,
@@ -333,7 +272,7 @@
             next_deal: Time(0),
             catalog: BTreeMap::new(),
             catalog_at: None,
-            cloud: buying::Fleet::default(),
+            cloud: fleet::Fleet::default(),
             learned: learned::Learned::default(),
             queries: Queries::default(),
             withdrawal: withdrawing::Withdrawal::default(),
@@ -419,206 +358,10 @@
         self.out.push(Output::Reply(request, reply));
     }
 
-    fn call_state(&mut self, call: StateCall, what: Pending) {
-        let id = self.new_call(what);
-        self.out.push(Output::State(id, call));
-    }
-
-    fn call_cloud(&mut self, call: CloudCall, what: Pending) {
-        let id = self.new_call(what);
-        self.out.push(Output::Cloud(id, call));
-    }
-
-    fn new_call(&mut self, what: Pending) -> CallId {
-        self.last_call += 1;
-        let id = CallId(self.last_call);
-        self.calls.insert(id, Call { what, sent: self.now });
-        id
-    }
-
-    /// A transaction on keys that nobody else in this node is changing.
-    fn simple_txn(&mut self, txn: Txn) {
-        let cost = txn.changes.len() as f64;
-        self.reads.force(self.now, 1.0);
-        self.writes.force(self.now, cost);
-        for change in &txn.changes {
-            self.busy_keys.insert(change_key(change).to_string());
-        }
-        self.call_state(StateCall::Txn(txn.clone()), Pending::Simple(txn));
-    }
-
-    fn state_answer(&mut self, id: CallId, answer: StateAnswer) {
-        let Some(Call { what, sent }) = self.calls.remove(&id) else { return };
-        if !matches!(answer, StateAnswer::Unknown | StateAnswer::Refused) {
-            self.last_state_answer = Some(self.now);
-        }
-        if let StateAnswer::Rejected(why) = &answer {
-            tracing::error!("the state service rejects {what:?}: {why}");
-        }
-        match what {
-            Pending::Load { seen, first } => self.load_answer(seen, first, sent, answer),
-            Pending::Watch => self.watch_answer(sent, answer),
-            Pending::Compare(part) => self.compared(part, answer),
-            Pending::Grant => self.grant_answer(answer),
-            Pending::Renew(lease) => self.renew_answer(lease, answer),
-            // A gift of allowance counts as given until it is known not to be:
-            // carried out late, it would otherwise be used twice.
-            Pending::Simple(txn) if matches!(answer, StateAnswer::Unknown) && is_gift(&txn) => {
-                self.call_state(StateCall::Txn(txn.clone()), Pending::Simple(txn));
-            }
-            Pending::Simple(txn) => {
-                if is_gift(&txn) && !matches!(answer, StateAnswer::Conflict(_)) {
-                    let parts = txn.changes.iter().filter_map(|c| match records::Key::read(change_key(c)) {
-                        Some(records::Key::Allowance(part)) => Some(part),
-                        _ => None,
-                    });
-                    let parts: Vec<PartId> = parts.collect();
-                    if let StateAnswer::Committed(revision) = answer {
-                        self.committed(&txn, revision);
-                    }
-                    self.end_gifts(&parts);
-                }
-                for change in &txn.changes {
-                    self.busy_keys.remove(change_key(change));
-                }
-                match answer {
-                    StateAnswer::Committed(revision) => self.committed(&txn, revision),
-                    StateAnswer::Conflict(failed) if is_gift(&txn) => {
-                        let keys = txn.conditions.iter().map(|c| c.key.clone()).collect();
-                        drop(failed);
-                        self.reread(keys, None);
-                    }
-                    StateAnswer::Conflict(failed) => self.reread(failed, None),
-                    StateAnswer::LeaseGone => self.lease_gone_elsewhere(&txn),
-                    _ => {}
-                }
-            }
-            Pending::PartTxn { part, txn } => self.part_txn_answer(part, txn, answer),
-            Pending::Reread { key, part } => self.reread_answer(key, part, answer),
-            Pending::SubmitWrite { request, txn, spec } => self.submit_written(request, txn, spec, answer),
-            Pending::SubmitRead { request, job, fresh } => self.submit_read(request, job, fresh, answer),
-            Pending::Past { request, job, known } => self.past_answer(request, job, known, answer),
-            Pending::Probe(questions) => self.probed(questions, answer),
-            Pending::CancelRead { request, job, tries } => self.cancel_read(request, job, tries, answer),
-            Pending::CancelWrite { request, job, txn, tries } => self.cancel_written(request, job, txn, tries, answer),
-            Pending::RentName { rent, txn } => self.rent_named(rent, txn, answer),
-            Pending::Rent(_) | Pending::Return(_) | Pending::List { .. } | Pending::Catalog => {}
-        }
-    }
-
-    /// Takes a committed transaction's changes into the view.
-    fn committed(&mut self, txn: &Txn, revision: Revision) {
-        for change in &txn.changes {
-            let changed = match change {
-                Change::Put { put, value, .. } => self.view.apply(put, Some(value.clone()), revision),
-                Change::Delete { delete } => self.view.apply(delete, None, revision),
-            };
-            self.changed(changed);
-        }
-    }
-
-    fn reread(&mut self, keys: Vec<String>, part: Option<PartId>) {
-        for key in keys {
-            self.reads.force(self.now, 1.0);
-            self.call_state(StateCall::Get { key: key.clone() }, Pending::Reread { key, part });
-        }
-    }
-
-    fn reread_answer(&mut self, key: String, part: Option<PartId>, answer: StateAnswer) {
-        if let (Some(records::Key::Allowance(part)), true) =
-            (records::Key::read(&key), matches!(answer, StateAnswer::Unknown | StateAnswer::Refused))
-        {
-            // What became of a gift must be known before allowance is used again.
-            return self.call_state(StateCall::Get { key: key.clone() }, Pending::Reread { key, part: Some(part) });
-        }
-        let changed = match answer {
-            StateAnswer::Found(item) => self.view.apply(&key, Some(item.value), item.version),
-            StateAnswer::Missing(at) => self.view.apply(&key, None, at),
-            _ => Changed::Nothing,
-        };
-        self.changed(changed);
-        if let Some(records::Key::Allowance(part)) = records::Key::read(&key) {
-            self.end_gifts(&[part]);
-        }
-        if let Some(mine) = part.and_then(|p| self.mine.get_mut(&p)) {
-            mine.rereads = mine.rereads.saturating_sub(1);
-        }
-    }
-
-    /// The outcome of gifts from or to these parts is in the view.
-    fn end_gifts(&mut self, parts: &[PartId]) {
-        for part in parts {
-            if let Some(mine) = self.mine.get_mut(part) {
-                mine.giving = None;
-            }
-        }
-    }
-
-    /// Acts on news in the view.
-    fn changed(&mut self, what: Changed) {
-        match what {
-            Changed::Owner(part) => self.owner_changed(part),
-            Changed::Job(job) => self.job_changed(&job),
-            Changed::Slice(job, slice) => self.slice_changed(&job, slice),
-            Changed::Keep(part) => self.keep_changed(part),
-            Changed::Fleet => self.fleet_changed(),
-            Changed::Other => self.catalog_changed(),
-            Changed::Leader | Changed::Node | Changed::Nothing => {}
-        }
-    }
-
     /// True if the records were read lately enough to start new work on them.
     fn state_fresh(&self) -> bool {
         self.last_read.is_some_and(|at| self.now.since(at) <= self.timing.fresh)
     }
-
-    fn refresh_catalog(&mut self) {
-        let known = !self.catalog.is_empty();
-        if known && !self.leading() {
-            return;
-        }
-        let pause = if known { 15.0 } else { 1.0 };
-        if self.catalog_at.is_none_or(|at| self.now.since(at) >= Span::secs(pause)) {
-            self.catalog_at = Some(self.now);
-            self.call_cloud(CloudCall::Catalog, Pending::Catalog);
-        }
-    }
-
-    /// A catalog from the cloud; the leader keeps its lasting parts in the
-    /// state service, so that a node that starts in a cloud outage knows them.
-    fn take_catalog(&mut self, catalog: Catalog) {
-        self.catalog = catalog.types.iter().map(|t| (t.name.clone(), t.clone())).collect();
-        let same = self.view.catalog.record.as_ref().is_some_and(|old| {
-            let lasting = |c: &Catalog| {
-                c.types.iter().map(|t| (t.name.clone(), t.cpus, t.gpus, t.mem_gb, t.zones.clone())).collect::<Vec<_>>()
-            };
-            lasting(old) == lasting(&catalog)
-        });
-        if same || !self.leading() || self.busy_keys.contains(records::CATALOG_KEY) {
-            return;
-        }
-        let Ok(value) = serde_json::to_value(&catalog) else { return };
-        let conditions = vec![Condition { key: records::CATALOG_KEY.into(), version: self.view.catalog.version }];
-        self.simple_txn(Txn { conditions, changes: vec![Change::put(records::CATALOG_KEY.into(), value)] });
-    }
-
-    fn catalog_changed(&mut self) {
-        if let (true, Some(stored)) = (self.catalog.is_empty(), &self.view.catalog.record) {
-            self.catalog = stored.types.iter().map(|t| (t.name.clone(), t.clone())).collect();
-        }
-    }
-}
-
-/// True if a transaction moves allowance between parts.
-fn is_gift(txn: &Txn) -> bool {
-    txn.changes.iter().any(|c| matches!(records::Key::read(change_key(c)), Some(records::Key::Allowance(_))))
-}
-
-fn change_key(change: &Change) -> &str {
-    match change {
-        Change::Put { put, .. } => put,
-        Change::Delete { delete } => delete,
-    }
 }
 
 #[cfg(test)]
--- a/src/coordination/preempting.rs
+++ b/src/coordination/preempting.rs
@@ -1,8 +1,8 @@
 //! Stopping tasks to make room for others: for a higher priority, or so that
 //! a team gets its guarantee.
 
+use super::mine::TaskKey;
 use super::openings::{fits, shift};
-use super::part::TaskKey;
 use super::rounds::Short;
 use super::seats::needs;
 use super::*;
--- /dev/null
+++ b/src/coordination/returning.rs
@@ -0,0 +1,171 @@
+//! Giving machines back: marked first, so that their owners know, and returned
+//! when nothing is on them.
+
+use super::demand::Demand;
+use super::fleet::Owned;
+use super::*;
+use crate::bookkeeping::records::FLEET_KEY;
+use crate::protocol::cloud::RETURN_LIMIT;
+use foldhash::fast::FixedState;
+use std::collections::HashSet;
+
+/// How many machines the record of a fleet may name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Names {
+    /// On their way out.
+    drain: usize,
+    /// Returned of late.
+    gone: usize,
+}
+
+impl Names {
+    /// What a value of `value_kb` KiB holds: of a large fleet not all.
+    fn within(value_kb: f64) -> Names {
+        /// Bytes of a name with quotes and comma, with room to spare.
+        const NAME_BYTES: f64 = 24.0;
+        let all = (value_kb * 1024.0 * 0.9 / NAME_BYTES) as usize;
+        let gone = (all / 4).max(1);
+        Names { drain: all.saturating_sub(gone).max(1), gone }
+    }
+}
+
+impl Core {
+    /// True if a machine should have been up long ago.
+    pub(super) fn stuck(&self, m: &Owned) -> bool {
+        let Some(t) = self.catalog.get(&m.kind).filter(|_| !m.up) else { return false };
+        let overtaken = self
+            .cloud
+            .machines
+            .values()
+            .any(|other| other.up && other.born > m.born && other.kind == m.kind && other.zone == m.zone);
+        let age_s = self.now.since(m.born).as_secs();
+        self.cloud.boots.hopeless(&m.kind, &m.zone, t.boot_s, age_s, overtaken)
+    }
+
+    /// Marks for return what is idle beyond need, failed or never came up.
+    pub(super) fn drain_idle(&mut self, demand: &[Demand]) {
+        if self.busy_keys.contains(FLEET_KEY) {
+            return;
+        }
+        let (lacks, spare) = self.missing(demand, |d| d.cpus);
+        // Machines that suit work without room are kept; others are not: they
+        // may be what keeps the cloud from having any that would do.
+        let lacking = |m: &Owned| {
+            let mut groups = demand.iter().zip(&lacks);
+            groups.any(|(group, lack)| *lack > 0.5 && self.suits(group, &m.kind, &m.zone, m.spot))
+        };
+        let idle_for = Span::secs(self.tuning.idle_s);
+        let mut surplus: f64 = spare.values().sum();
+        let mut drain = vec![];
+        let mut order: Vec<(&MachineId, &Owned)> = self.cloud.machines.iter().collect();
+        let price = |m: &Owned| {
+            self.catalog
+                .get(&m.kind)
+                .map_or(0.0, |t| if m.spot { t.spot_price.unwrap_or(t.price) } else { t.price } / t.cpus)
+        };
+        let used = self.taken();
+        let wanted: f64 = demand.iter().map(|d| d.cpus).sum();
+        let load = |n: &MachineId| used.get(n).map_or(0.0, |taken| taken[0]);
+        order.sort_by(|a, b| price(b.1).total_cmp(&price(a.1)).then(load(a.0).total_cmp(&load(b.0))));
+        for (name, owned) in order {
+            if self.draining(name) {
+                continue;
+            }
+            let Some(t) = self.catalog.get(&owned.kind) else { continue };
+            let stuck = self.stuck(owned);
+            // Ordinary machines cost several times as much to keep.
+            let idle_for = if owned.spot { idle_for } else { Span(idle_for.0 / 4) };
+            let idle = owned.idle_since.is_some_and(|at| self.now.since(at) >= idle_for);
+            // Surplus ordinary machines are left to run out, rather than
+            // refilled for as long as there is any work.
+            let settled = owned.up && self.now.since(owned.born) > Span::secs(t.boot_s + 45.0);
+            let in_use = load(name) / t.cpus;
+            let margin = if owned.spot { wanted * 0.1 } else { t.cpus * 0.25 };
+            let dear = settled && !owned.spot && in_use < 0.6 && surplus >= t.cpus + margin;
+            let unneeded = !lacking(owned) && (idle && surplus >= t.cpus || dear);
+            if owned.failed || stuck || unneeded {
+                if unneeded {
+                    surplus -= t.cpus;
+                }
+                drain.push(name.clone());
+            }
+        }
+        if drain.is_empty() {
+            return;
+        }
+        for name in drain {
+            if let Some(owned) = self.cloud.machines.get_mut(&name) {
+                if !owned.up && owned.rented_here {
+                    let after_s = self.now.since(owned.born).as_secs();
+                    self.cloud.boots.given_up(&owned.kind, &owned.zone, after_s);
+                }
+                owned.drain_since = Some(self.now);
+            }
+        }
+        self.write_fleet();
+    }
+
+    /// Writes which machines are on their way out, and which are gone.
+    pub(super) fn write_fleet(&mut self) {
+        if self.busy_keys.contains(FLEET_KEY) || !self.leading() {
+            return;
+        }
+        let mut record = self.view.fleet.record.clone().unwrap_or_default();
+        let before = record.clone();
+        // Of a large fleet only so many fit into one record; the rest are
+        // named when these are gone.
+        let most = Names::within(self.settings.cluster.state.value_kb);
+        for (name, owned) in &self.cloud.machines {
+            if record.drain.len() >= most.drain {
+                break;
+            }
+            if owned.drain_since.is_some() && !self.cloud.drained.contains(name) && !record.drain.contains(name) {
+                record.drain.push(name.clone());
+            }
+        }
+        for name in &self.cloud.gone {
+            record.drain.retain(|n| n != name);
+            if !record.gone.contains(name) {
+                record.gone.push(name.clone());
+            }
+        }
+        // Drained machines that ended otherwise need not be remembered.
+        if self.cloud.known {
+            record.drain.retain(|n| self.cloud.machines.contains_key(n));
+        }
+        let over = record.gone.len().saturating_sub(most.gone);
+        record.gone.drain(..over);
+        while self.cloud.gone.len() > most.gone {
+            self.cloud.gone.pop_first();
+        }
+        if record != before {
+            if let Some(txn) = self.fleet_txn(&record) {
+                self.simple_txn(txn);
+            }
+        }
+    }
+
+    /// Returns machines that were marked long enough for their owners to know
+    /// and that nothing is on, or that failed.
+    pub(super) fn return_drained(&mut self, busy: &HashSet<MachineId, FixedState>) {
+        self.write_fleet();
+        if self.cloud.returning {
+            return;
+        }
+        let Some(record) = &self.view.fleet.record else { return };
+        let mut names = vec![];
+        for name in record.drain.iter().filter(|n| !record.gone.contains(n)) {
+            let Some(owned) = self.cloud.machines.get_mut(name) else { continue };
+            let since = *owned.drain_since.get_or_insert(self.now);
+            if self.now.since(since) >= Span(2000) && !busy.contains(name) {
+                names.push(name.clone());
+            }
+        }
+        // Owners learn from the record which are gone: no more than it holds.
+        names.truncate(RETURN_LIMIT.min(Names::within(self.settings.cluster.state.value_kb).gone));
+        if !names.is_empty() && self.afford_cloud() {
+            self.cloud.returning = true;
+            self.call_cloud(CloudCall::Return(names.clone()), Pending::Return(names));
+        }
+    }
+}
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -1,8 +1,8 @@
 //! Placement rounds: each waiting task goes where its expected completion is
 //! least, which may mean waiting for a busy machine.
 
+use super::mine::TaskKey;
 use super::openings::fits;
-use super::part::TaskKey;
 use super::seats::{Seat, Spread};
 use super::*;
 use crate::bookkeeping::records::TaskRecord;
--- a/src/coordination/seats.rs
+++ b/src/coordination/seats.rs
@@ -1,8 +1,8 @@
 //! Machines as one placement round sees them, and which of them is the best
 //! for a task: the one of least expected completion.
 
+use super::mine::Machine;
 use super::openings::Openings;
-use super::part::Machine;
 use super::scoring::{expected_completion, Prospect};
 use super::*;
 use crate::bookkeeping::lifetimes::History;
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -1,6 +1,6 @@
 //! Workers' reports: what is on which machine, and what they are told.
 
-use super::part::{Machine, TaskKey};
+use super::mine::{Machine, TaskKey};
 use super::*;
 use crate::bookkeeping::records::TaskRecord;
 use crate::protocol::workers::{TaskName, TaskReport, TaskState, Why};
--- /dev/null
+++ b/src/coordination/writing.rs
@@ -0,0 +1,253 @@
+//! Making a part's changes durable: one transaction at a time, what presses
+//! first, and nothing that somebody else has changed meanwhile.
+
+use super::*;
+use crate::bookkeeping::records::{job_key, owner_key, slice_key, End, JobRecord, SliceRecord, TaskRecord};
+use crate::bookkeeping::view::{Job, Slice};
+use crate::protocol::users::Priority;
+
+/// How soon a slice's changes should be durable; less is sooner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Haste {
+    /// A machine stands ready for a task that may start once this is written.
+    Start,
+    /// The end of a slice, perhaps of its job, or what has waited long.
+    Soon,
+    /// Exits: the machine is free already, and more will come.
+    Exit,
+    /// Clearing away.
+    Whenever,
+}
+
+impl Haste {
+    /// What has waited for so long must not starve.
+    fn after(self, waited: Span) -> Haste {
+        let patience = match self {
+            Haste::Start | Haste::Soon => return self,
+            Haste::Exit => Span(2000),
+            Haste::Whenever => Span(20_000),
+        };
+        if waited >= patience {
+            Haste::Soon
+        } else {
+            self
+        }
+    }
+}
+
+fn haste_of(slice: &Slice, ended: bool) -> Haste {
+    let Some(want) = slice.want() else { return Haste::Whenever };
+    if ended {
+        return Haste::Whenever;
+    }
+    let durable = |at: usize| slice.record().and_then(|r| r.tasks.get(at));
+    let starts = |(at, task): (usize, &TaskRecord)| matches!(task, TaskRecord::On(..)) && durable(at) != Some(task);
+    if want.tasks.iter().enumerate().any(starts) {
+        Haste::Start
+    } else if want.is_done() {
+        Haste::Soon
+    } else {
+        Haste::Exit
+    }
+}
+
+/// How long writes for a job stand back behind those of the highest priority:
+/// a swarm of little work must not hold up what presses, nor wait for ever.
+fn patience_ms(priority: Priority) -> u64 {
+    match priority {
+        Priority::Low => 2000,
+        Priority::Normal => 500,
+        Priority::High | Priority::Critical => 0,
+    }
+}
+
+/// The change that makes a slice of a job as it is wanted, if one is needed.
+fn slice_change(job: &Job, id: &JobRef, index: usize) -> Option<Change> {
+    let slice = &job.slices[index];
+    let want = slice.want()?;
+    let key = slice_key(id, index);
+    if job.record.end.is_some() && !want.any_on() {
+        // Nothing of an ended job is left here: the slice has served.
+        return slice.record().map(|_| Change::delete(key));
+    }
+    if slice.dirty() {
+        return Some(Change::put(key, serde_json::to_value(want).ok()?));
+    }
+    None
+}
+
+impl Core {
+    pub(super) fn flush_all(&mut self) {
+        if self.now < self.retry_state_at {
+            return;
+        }
+        for part in self.mine.keys().copied().collect::<Vec<_>>() {
+            self.flush(part);
+        }
+    }
+
+    /// Sends one transaction with the part's oldest changes, each slice's
+    /// coalesced; all of it holds only if we still own the part, no slice was
+    /// changed behind our back, and no job was cancelled or dealt anew.
+    pub(super) fn flush(&mut self, part: PartId) {
+        let level = self.writes.level(self.now).floor();
+        let Some(mine) = self.mine.get(&part) else { return };
+        if !mine.ready
+            || mine.inflight.is_some()
+            || mine.rereads > 0
+            || self.now < mine.retry_at
+            || mine.dirty.is_empty()
+        {
+            return;
+        }
+        let limit = self.settings.cluster.state.txn_ops.min(level.max(0.0) as usize);
+        if limit < 2 {
+            return;
+        }
+        let mut order: Vec<(Haste, Time, (JobRef, usize))> = vec![];
+        for (key, since) in &mine.dirty {
+            let slice = self.view.jobs.get(&key.0).and_then(|j| Some((j.record.end, j.slices.get(key.1)?)));
+            let haste = slice.map_or(Haste::Whenever, |(end, slice)| haste_of(slice, end.is_some()));
+            let priority = self.view.jobs.get(&key.0).map_or(Priority::Low, |j| j.record.spec.priority);
+            let due = Time(since.0 + patience_ms(priority));
+            order.push((haste.after(self.now.since(*since)), due, key.clone()));
+        }
+        order.sort();
+        // Writes are scarce: what can wait for more to come to the same slice
+        // leaves half of them to starts.
+        let thrifty = level < self.writes.per_s() / 2.0;
+        let mut txn = Txn {
+            conditions: vec![Condition { key: owner_key(part), version: Revision(mine.token.0) }],
+            changes: vec![],
+        };
+        let mut sent = vec![];
+        let mut jobs = BTreeSet::new();
+        let mut bytes = 0;
+        for (haste, _, (id, index)) in order {
+            if thrifty && haste > Haste::Soon {
+                break;
+            }
+            let Some(job) = self.view.jobs.get(&id) else {
+                sent.push((id, index));
+                continue;
+            };
+            let Some(change) = job.slices.get(index).and_then(|_| slice_change(job, &id, index)) else {
+                sent.push((id, index));
+                continue;
+            };
+            // Room for the job's own record, should this slice be its last.
+            if txn.changes.len() + 2 > limit || bytes > 40_000 {
+                break;
+            }
+            bytes += serde_json::to_vec(&change).map_or(0, |b| b.len()) + 200;
+            txn.conditions.push(Condition { key: slice_key(&id, index), version: job.slices[index].held().version });
+            if jobs.insert(id.clone()) {
+                txn.conditions.push(Condition { key: job_key(&id), version: job.version });
+            }
+            let last = job.record.end.is_none()
+                && job.slices.iter().enumerate().all(|(at, s)| {
+                    if at == index {
+                        s.want().is_some_and(SliceRecord::is_done)
+                    } else {
+                        s.is_done()
+                    }
+                });
+            if last && !self.busy_keys.contains(&job_key(&id)) {
+                // Done with its last slice: the slice need not be kept.
+                let record = JobRecord { end: Some(End::Done), ..job.record.clone() };
+                if let Ok(value) = serde_json::to_value(record) {
+                    bytes += 800;
+                    txn.changes.push(Change::put(job_key(&id), value));
+                    // While writes are scarce, clearing away is left for later.
+                    if job.slices[index].record().is_some() && !thrifty {
+                        txn.changes.push(Change::delete(slice_key(&id, index)));
+                    }
+                }
+            } else {
+                txn.changes.push(change);
+            }
+            sent.push((id, index));
+        }
+        let Some(mine) = self.mine.get_mut(&part) else { return };
+        for key in &sent {
+            mine.dirty.remove(key);
+        }
+        if txn.changes.is_empty() {
+            // All of it can wait for writes: not to be weighed at every input.
+            mine.retry_at = self.now + Span(20);
+            return;
+        }
+        self.reads.force(self.now, 1.0);
+        self.writes.force(self.now, txn.changes.len() as f64);
+        self.call_state(StateCall::Txn(txn.clone()), Pending::PartTxn { part, txn });
+        let id = CallId(self.last_call);
+        if let Some(mine) = self.mine.get_mut(&part) {
+            mine.inflight = Some(id);
+        }
+    }
+
+    pub(super) fn part_txn_answer(&mut self, part: PartId, txn: Txn, answer: StateAnswer) {
+        // The slices of a transaction that failed, or whose outcome is not
+        // known, are sent again under the same versions: if it did go
+        // through after all, the conflict says so and the records are read.
+        let committed = matches!(answer, StateAnswer::Committed(_));
+        if let Some(mine) = self.mine.get_mut(&part) {
+            mine.inflight = None;
+            if !committed {
+                for key in txn.conditions.iter() {
+                    if let Some(records::Key::Slice(id, index)) = records::Key::read(&key.key) {
+                        mine.dirty.entry((id, index)).or_insert(self.now);
+                    }
+                }
+                mine.retry_at = self.now + Span(150);
+            }
+        }
+        match answer {
+            StateAnswer::Committed(revision) => {
+                self.committed(&txn, revision);
+                // Tell others only of what they may have to act on: ends of jobs.
+                if txn.changes.iter().any(|c| change_key(c).starts_with("t/j/")) {
+                    self.nudge(revision);
+                }
+            }
+            StateAnswer::Conflict(failed) => {
+                if let Some(mine) = self.mine.get_mut(&part) {
+                    mine.rereads += failed.len();
+                }
+                self.reread(failed, Some(part));
+            }
+            StateAnswer::Rejected(_) => {
+                if let Some(mine) = self.mine.get_mut(&part) {
+                    mine.retry_at = self.now + Span(2000);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::units::Attempt;
+
+    fn slice(held: &[TaskRecord], want: &[TaskRecord]) -> Slice {
+        let record = |tasks: &[TaskRecord]| Some(SliceRecord { tasks: tasks.to_vec() });
+        let mut slice = Slice::known(Revision(1), record(held));
+        slice.set_want(record(want));
+        slice
+    }
+
+    /// Starts waited seconds behind exits for the part's share of writes.
+    #[test]
+    fn starts_are_written_before_exits_but_nothing_starves() {
+        let on = |n: u64| TaskRecord::On(Attempt(n), MachineId::new("i-000001"));
+        let start = haste_of(&slice(&[on(1), TaskRecord::Idle(Attempt(0))], &[TaskRecord::Done, on(1)]), false);
+        let exit = haste_of(&slice(&[on(1), on(1)], &[TaskRecord::Done, on(1)]), false);
+        let last = haste_of(&slice(&[TaskRecord::Done, on(1)], &[TaskRecord::Done, TaskRecord::Done]), false);
+        assert!(start < last && last < exit, "{start:?} {last:?} {exit:?}");
+        assert_eq!(exit.after(Span(500)), Haste::Exit);
+        assert_eq!(exit.after(Span(2500)), Haste::Soon);
+        assert_eq!(haste_of(&slice(&[on(1)], &[on(1)]), true).after(Span(22_000)), Haste::Soon);
+    }
+}
