A start under every order of answers, as a property test

Need: what a node does while it starts was tested in one order of answers.

Change: tests/starting.rs answers, refuses, loses and carries out late the calls of a starting controller in 150 generated orders, over two lives, with a worker whose task must go on.

Measured: no failure found in the core.

--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -448,7 +448,7 @@
     Worker(usize, u64),
 }
 
-fn settings(shape: &Shape, node: usize, lease_s: f64) -> Settings {
+pub fn settings(shape: &Shape, node: usize, lease_s: f64) -> Settings {
     let addr = |n: usize| format!("127.0.0.1:{}", 1000 + n);
     let domain = |n: usize| shape.zones[n % shape.zones.len()].clone();
     let known: Vec<serde_json::Value> = (0..shape.nodes)
--- /dev/null
+++ b/tests/starting.rs
@@ -0,0 +1,335 @@
+//! A start of a controller under every order of answers: late, refused, lost,
+//! and lost though carried out.
+
+#[allow(dead_code)]
+mod standin;
+
+use proptest::prelude::*;
+use standin::{Shape, StateService};
+use std::collections::VecDeque;
+use tillercleat::bookkeeping::records::{job_key, owner_key, slice_key, SliceRecord, TaskRecord};
+use tillercleat::coordination::{Ask, CloudAnswer, CloudCall, Core, Input, Output, Reply};
+use tillercleat::protocol::cloud::{Catalog, MachinePage};
+use tillercleat::protocol::state::{StateAnswer, StateCall};
+use tillercleat::protocol::users::JobSpec;
+use tillercleat::protocol::workers::{Command, Report, TaskName, TaskReport, TaskState};
+use tillercleat::settings::Tuning;
+use tillercleat::units::{Attempt, CallId, JobRef, MachineId, PartId, RequestId, Seq, Session, Time, Token};
+
+const MACHINE: &str = "i-000001";
+
+/// What happens next to one of the calls that are on their way.
+#[derive(Debug, Clone)]
+enum Step {
+    Wait(u64),
+    Answer(usize),
+    Refuse(usize),
+    /// No answer comes, whether it was carried out or not.
+    Lose(usize, bool),
+    Submit,
+    Query,
+    Report,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (1u64..300).prop_map(Step::Wait),
+        8 => (0usize..16).prop_map(Step::Answer),
+        1 => (0usize..16).prop_map(Step::Refuse),
+        1 => (0usize..16, any::<bool>()).prop_map(|(pick, done)| Step::Lose(pick, done)),
+        1 => Just(Step::Submit),
+        1 => Just(Step::Query),
+        2 => Just(Step::Report),
+    ]
+}
+
+/// One controller of three, alone, and the state service.
+struct Site {
+    shape: Shape,
+    service: StateService,
+    core: Core,
+    now: u64,
+    began: u64,
+    on_way: VecDeque<(CallId, StateCall)>,
+    replies: Vec<(RequestId, Reply)>,
+    requests: u64,
+    tally: u64,
+    token: Token,
+    session: u64,
+    /// Since when the worker's lease counts; and when it sent its last report.
+    lease_from: u64,
+    sent: u64,
+    /// The task that the worker runs.
+    running: Option<(TaskName, Attempt)>,
+}
+
+fn job(number: u32) -> JobSpec {
+    let text = serde_json::json!({
+        "ref": format!("wk-{number:06}"), "haul": "work", "crew": "blue", "rig": "array", "rank": "normal", "loads": 1,
+        "cores": 1.0, "gpus": 0.0, "mem_gb": 2.0, "kit": "img", "image_gb": 0.5, "hulls": null, "berth": null,
+        "one_zone": false, "apart": false, "driftwood": true, "reckon_s": 300.0, "mark_s": 0.0, "stow_s": 0.0,
+        "tide_s": null
+    });
+    JobSpec::parse(text.to_string().as_bytes()).expect("a valid job")
+}
+
+impl Site {
+    fn new() -> Site {
+        let shape = Shape::small();
+        let core = Core::new(standin::settings(&shape, 0, 10.0), Tuning::default());
+        let (service, replies) = (StateService::default(), vec![]);
+        let on_way = VecDeque::new();
+        Site {
+            shape,
+            service,
+            core,
+            now: 1000,
+            began: 1000,
+            on_way,
+            replies,
+            requests: 0,
+            tally: 0,
+            token: Token(0),
+            session: 1,
+            lease_from: 1000,
+            sent: 0,
+            running: None,
+        }
+    }
+
+    /// The process ends, and another begins; what was on its way may still be carried out.
+    fn restart(&mut self) {
+        for (_, call) in std::mem::take(&mut self.on_way) {
+            if self.on_way.is_empty() && matches!(call, StateCall::Txn(_)) {
+                self.service.run(self.now, call);
+            }
+        }
+        self.core = Core::new(standin::settings(&self.shape, 0, 10.0), Tuning::default());
+        self.began = self.now;
+    }
+
+    fn feed(&mut self, input: Input) {
+        let steady = Time(self.now - self.began + 1);
+        for output in self.core.handle(steady, self.now, input) {
+            match output {
+                Output::State(id, call) => self.on_way.push_back((id, call)),
+                Output::Reply(request, reply) => self.replies.push((request, reply)),
+                Output::Cloud(id, call) => {
+                    let answer = match call {
+                        CloudCall::Catalog => CloudAnswer::Catalog(Catalog { types: self.shape.types.clone() }),
+                        CloudCall::List { .. } => CloudAnswer::Page(MachinePage { machines: vec![], more: false }),
+                        CloudCall::Rent(_) => CloudAnswer::NoCapacity,
+                        CloudCall::Return(_) => CloudAnswer::Failed,
+                    };
+                    self.feed(Input::Cloud(id, answer));
+                }
+                Output::Tell(_) | Output::Nudge(_) => {}
+            }
+        }
+    }
+
+    fn ask(&mut self, ask: Ask) -> RequestId {
+        self.requests += 1;
+        self.feed(Input::User(RequestId(self.requests), ask));
+        RequestId(self.requests)
+    }
+
+    fn report(&mut self) {
+        if self.now > self.lease_from + self.shape.lease_ms {
+            // The lease is over, and with it all that ran.
+            self.running = None;
+            self.session += 1;
+            self.lease_from = self.now;
+        }
+        self.sent = self.now;
+        self.requests += 1;
+        self.tally += 1;
+        let tasks = self.running.iter().map(|(task, attempt)| TaskReport {
+            task: task.clone(),
+            attempt: *attempt,
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        });
+        let report = Report {
+            machine: MachineId::new(MACHINE),
+            addr: "127.0.0.1:1".into(),
+            kind: "m8".into(),
+            zone: "a".into(),
+            spot: true,
+            session: Session(self.session),
+            seq: Seq(self.tally),
+            token: self.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        };
+        self.feed(Input::Report(RequestId(self.requests), report));
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.now += ms;
+        self.feed(Input::Tick);
+    }
+
+    /// Time passes with every call answered in order.
+    fn settle(&mut self, ms: u64) {
+        for _ in 0..ms / 50 {
+            self.wait(50);
+            while let Some((id, call)) = self.on_way.pop_front() {
+                let watch = matches!(call, StateCall::Watch { .. });
+                let answer = self.service.run(self.now, call);
+                self.feed(Input::State(id, answer));
+                if watch {
+                    break;
+                }
+            }
+            self.take_replies();
+        }
+    }
+
+    fn record(&mut self, key: &str) -> Option<(serde_json::Value, u64)> {
+        match self.service.run(self.now, StateCall::Get { key: key.into() }) {
+            StateAnswer::Found(item) => Some((item.value, item.version.0)),
+            _ => None,
+        }
+    }
+
+    /// Checks what was answered against what is durable, and obeys commands.
+    fn take_replies(&mut self) -> Vec<(RequestId, u16)> {
+        let mut statuses = vec![];
+        for (request, reply) in std::mem::take(&mut self.replies) {
+            match reply {
+                Reply::Job { status, id, .. } => {
+                    assert!(self.record(&job_key(&id)).is_some(), "{id} was told to be accepted and is not durable");
+                    statuses.push((request, status));
+                }
+                Reply::Problem { status, .. } => statuses.push((request, status)),
+                Reply::Up => statuses.push((request, 200)),
+                Reply::Elsewhere(_) => statuses.push((request, 421)),
+                Reply::Commands { token, commands } => {
+                    let part = PartId::of(MACHINE, 3);
+                    let owner = self.record(&owner_key(part));
+                    // Its own key, or one that it cannot yet know to be gone.
+                    assert!(owner.is_none_or(|(_, version)| version >= token.0), "commands under a token of nobody");
+                    if token >= self.token && self.now <= self.sent + 4000 {
+                        self.token = token;
+                        self.lease_from = self.sent;
+                        commands.into_iter().for_each(|command| self.obey(command));
+                    }
+                    statuses.push((request, 200));
+                }
+            }
+        }
+        statuses
+    }
+
+    fn obey(&mut self, command: Command) {
+        match command {
+            Command::Start { task, attempt } => {
+                let (record, _) = self.record(&slice_key(&task.job, 0)).expect("a durable slice before a start");
+                let slice: SliceRecord = serde_json::from_value(record).expect("a slice");
+                let on = TaskRecord::On(attempt, MachineId::new(MACHINE));
+                assert_eq!(slice.tasks[task.index as usize], on, "a start that is not durable");
+                assert!(self.running.as_ref().is_none_or(|(running, _)| *running != task), "{task:?} twice");
+                if self.running.is_none() {
+                    self.running = Some((task, attempt));
+                }
+            }
+            Command::Stop { task, .. } => {
+                assert!(self.running.as_ref().is_none_or(|(running, _)| *running != task), "{task:?} is stopped");
+            }
+            Command::Forget { .. } => {}
+        }
+    }
+
+    fn answer(&mut self, pick: usize, how: impl FnOnce(&mut StateService, u64, StateCall) -> StateAnswer) {
+        if self.on_way.is_empty() {
+            return;
+        }
+        let at = pick % self.on_way.len();
+        let Some((id, call)) = self.on_way.remove(at) else { return };
+        let answer = how(&mut self.service, self.now, call);
+        self.feed(Input::State(id, answer));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..Default::default()
+    })]
+    /// Whatever comes in whatever order, nothing is promised or begun that is
+    /// not durable, an accepted job is never unknown, what runs goes on, and the
+    /// node serves once answers come again.
+    #[test]
+    fn a_start_ends_well_whatever_the_order_of_answers(
+        steps in proptest::collection::vec(step(), 0..120),
+        again in proptest::collection::vec(step(), 0..80),
+    ) {
+        let mut site = Site::new();
+        site.settle(5000);
+        site.ask(Ask::Submit(Box::new(job(1))));
+        site.settle(400);
+        // A worker that has seen the token is told to start.
+        for _ in 0..8 {
+            site.report();
+            site.settle(500);
+        }
+        prop_assert!(site.running.is_some(), "nothing runs before the trouble");
+        for steps in [steps, again] {
+            site.restart();
+            for step in steps {
+                match step {
+                    Step::Wait(ms) => site.wait(ms),
+                    Step::Answer(pick) => site.answer(pick, |service, now, call| service.run(now, call)),
+                    Step::Refuse(pick) => site.answer(pick, |_, _, _| StateAnswer::Refused),
+                    Step::Lose(pick, done) => site.answer(pick, |service, now, call| {
+                        if done {
+                            service.run(now, call);
+                        }
+                        StateAnswer::Unknown
+                    }),
+                    Step::Submit => drop(site.ask(Ask::Submit(Box::new(job(2))))),
+                    Step::Query => {
+                        let request = site.ask(Ask::Query(JobRef::new("wk-000001")));
+                        for (answered, status) in site.take_replies() {
+                            prop_assert!(answered != request || status != 404, "forgotten");
+                        }
+                    }
+                    Step::Report => site.report(),
+                }
+                site.take_replies();
+            }
+        }
+        for _ in 0..60 {
+            site.settle(500);
+            site.report();
+        }
+        site.take_replies();
+        let up = site.ask(Ask::Up);
+        prop_assert!(site.take_replies().contains(&(up, 200)), "not healthy after 30 s of answers");
+        let asked = site.ask(Ask::Submit(Box::new(job(3))));
+        let mut accepted = None;
+        for _ in 0..20 {
+            site.wait(20);
+            while let Some((id, call)) = site.on_way.pop_front() {
+                let answer = site.service.run(site.now, call);
+                site.feed(Input::State(id, answer));
+                if site.on_way.len() > 20 {
+                    break;
+                }
+            }
+            accepted = accepted.or(site.take_replies().into_iter().find(|(r, _)| *r == asked));
+            if accepted.is_some() {
+                break;
+            }
+        }
+        prop_assert_eq!(accepted, Some((asked, 201)));
+        site.report();
+        let token = site.token;
+        site.take_replies();
+        prop_assert!(site.token >= token && site.token > Token(0), "nobody owns the worker");
+    }
+}
