Seats walk lists side by side; one way to make a known machine; scaled sites' first machines

Need: a round searched for each listed task among the wanted ones; the leader's two ways to note a machine were the same lines; tools/scale_site.py left machines that are up at the start in their old zones.

Change: both lists are in order and walked together; Owned::new; the script scales and spreads [[machines]].

--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -187,7 +187,7 @@
                     self.cloud.refused.remove(&slot);
                 }
                 for name in names.machines {
-                    let owned = Owned { rented_here: true, ..self.owned(&kind, &zone, spot, self.now) };
+                    let owned = Owned { rented_here: true, ..Owned::new(&kind, &zone, spot, self.now) };
                     self.cloud.machines.entry(name).or_insert(owned);
                 }
             }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -27,6 +27,25 @@
     pub(super) drain_since: Option<Time>,
 }
 
+impl Owned {
+    /// A machine that is not known to be up.
+    pub(super) fn new(kind: &str, zone: &str, spot: bool, born: Time) -> Owned {
+        Owned {
+            kind: kind.into(),
+            zone: zone.into(),
+            spot,
+            born,
+            up: false,
+            failed: false,
+            leaving: false,
+            rented_here: false,
+            last_listed: None,
+            idle_since: None,
+            drain_since: None,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 pub struct Fleet {
     pub machines: BTreeMap<MachineId, Owned>,
@@ -158,19 +177,8 @@
             }
             for (name, machine) in &mine.machines {
                 if !self.cloud.machines.contains_key(name) && !self.cloud.gone.contains(name) {
-                    let owned = Owned {
-                        kind: machine.kind.clone(),
-                        zone: machine.zone.clone(),
-                        spot: machine.spot,
-                        born: machine.born,
-                        up: true,
-                        failed: false,
-                        leaving: false,
-                        rented_here: false,
-                        last_listed: None,
-                        idle_since: None,
-                        drain_since: None,
-                    };
+                    let found = Owned::new(&machine.kind, &machine.zone, machine.spot, machine.born);
+                    let owned = Owned { up: true, ..found };
                     self.cloud.machines.insert(name.clone(), owned);
                 }
             }
@@ -236,22 +244,6 @@
         }
     }
 
-    pub(super) fn owned(&self, kind: &str, zone: &str, spot: bool, born: Time) -> Owned {
-        Owned {
-            kind: kind.into(),
-            zone: zone.into(),
-            spot,
-            born,
-            up: false,
-            failed: false,
-            leaving: false,
-            rented_here: false,
-            last_listed: None,
-            idle_since: None,
-            drain_since: None,
-        }
-    }
-
     pub(super) fn list_answer(&mut self, mut seen: Vec<Listed>, answer: CloudAnswer) {
         let CloudAnswer::Page(page) = answer else {
             self.cloud.listing = false;
@@ -268,7 +260,7 @@
             if self.cloud.gone.contains(&listed.machine) || self.returned(&listed.machine) {
                 continue;
             }
-            let owned = self.owned(&listed.kind, &listed.zone, listed.spot, self.now - Span::secs(listed.age_s));
+            let owned = Owned::new(&listed.kind, &listed.zone, listed.spot, self.now - Span::secs(listed.age_s));
             let owned = self.cloud.machines.entry(listed.machine).or_insert(owned);
             owned.up |= listed.state == ListedState::Running;
             owned.failed |= listed.state == ListedState::Failed;
--- a/src/coordination/seats.rs
+++ b/src/coordination/seats.rs
@@ -12,6 +12,7 @@
 use crate::protocol::workers::TaskState;
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
+use std::sync::Arc;
 
 /// Expected completions that differ by less than this share of the run time
 /// count as equal.
@@ -140,7 +141,7 @@
             let mut last: Option<(&JobRef, Option<(&Job, f64)>)> = None;
             for key in known.into_iter().flatten() {
                 let found = match last {
-                    Some((id, found)) if *id == key.0 => found,
+                    Some((id, found)) if Arc::ptr_eq(&id.0, &key.0 .0) || *id == key.0 => found,
                     _ => {
                         let found = self.view.jobs.get(&key.0).map(|job| {
                             let spec = &job.record.spec;
@@ -154,9 +155,12 @@
                 let ends = job.record.spec.kind != JobKind::Standing;
                 openings.hold(&needs(&job.record), ends.then(|| self.rest_after(mine, run_s, key)));
             }
-            // Tasks on the machine that nobody wants there still take room.
+            // Tasks on the machine that nobody wants there still take room. Both
+            // lists are in order: walked side by side, nothing is searched for.
+            let mut wanted = known.into_iter().flatten().peekable();
             for (key, (_, state, _)) in &machine.listed {
-                if *state != TaskState::Exited && !known.is_some_and(|k| k.contains(key)) {
+                while wanted.next_if(|k| *k < key).is_some() {}
+                if *state != TaskState::Exited && wanted.peek() != Some(&key) {
                     if let Some(job) = self.view.jobs.get(&key.0) {
                         openings.hold(&needs(&job.record), None);
                     }
--- a/tools/scale_site.py
+++ b/tools/scale_site.py
@@ -55,7 +55,7 @@
         sys.exit("scale_site: OUT must lie outside the repository")
     blocks = re.split(r"(?m)^(?=\[)", opt.site.read_text())
     capacity = [b for b in blocks if b.startswith("[[capacity]]")]
-    out, placed = [], False
+    out, placed, started = [], False, 0
     old_zones = []
     for block in blocks:
         head = block.split("\n", 1)[0].strip()
@@ -81,6 +81,13 @@
                 grown = [re.sub(r"^((?:count|spot) = )(\d+)", lambda m: m.group(1) + scaled(m.group(2), opt.times), b,
                                 flags=re.M) for b in capacity]
                 block = "\n".join(spread_capacity(grown, opt.zones)) + "\n"
+        elif head == "[[machines]]":
+            # Up at the start; dealt over the zones one entry after the other.
+            block = grow(r"^(count = )(\d+)")
+            if opt.zones:
+                zone = opt.zones[started % len(opt.zones)]
+                block = re.sub(r'^zone = ".*"', f'zone = "{zone}"', block, flags=re.M)
+                started += 1
         elif head == "[[teams]]":
             block = grow(r"^(cpus(?:_max)? = )([\d.]+)")
         elif head == "[[jobs]]":
