Rounds under overload: names as labels, waits kept by seat, nothing scored in vain

Cause: a round scored each waiting job against each seat, up to 192,000 times, while nothing could start; names were compared as texts, and waits worked out again for jobs that take the same. Change: texts that records repeat get one label when read; a seat keeps its waits by what jobs take; a job that cannot start now is left once the part's room is promised; what fits nowhere is not looked for again; a team over its limit is not scored; the bound on a round follows the node's share of a core.

--- a/benches/cost.rs
+++ b/benches/cost.rs
@@ -1,9 +1,10 @@
 //! What each input costs the controllers' cores at fleets of several sizes.
 //!
-//!     cargo bench --bench cost [-- MACHINES...]
+//!     cargo bench --bench cost [-- [overload] MACHINES...]
 //!
 //! Drives five controllers in virtual time with the stand-in of the tests:
-//! work for all machines, a burst, and a crash. The times are real ones of this
+//! work for all machines, a burst, and a crash; with `overload` seven of them
+//! with five times the work from the start on, most of which waits. The times are real ones of this
 //! machine, so they are printed and judged by nobody. What matters is how they
 //! grow: cost per report and per change must not follow the number of machines.
 
@@ -40,8 +41,8 @@
 }
 
 /// Costs by kind of input, jobs accepted and tasks started.
-fn measure(machines: usize) -> (BTreeMap<&'static str, Cost>, usize, usize) {
-    let mut world = World::sized(1, Shape::fleet(5, 3, machines));
+fn measure(machines: usize, overload: bool) -> (BTreeMap<&'static str, Cost>, usize, usize) {
+    let mut world = World::sized(1, Shape::fleet(if overload { 7 } else { 5 }, 3, machines));
     let pause = 1000.0 / (JOBS_PER_S * machines as f64 / 1000.0);
     let mut at = 4000.0;
     let mut number = 0;
@@ -50,7 +51,11 @@
         world.submit(at as u64, job(number, random));
         number += 1;
         let burst = (50_000.0..60_000.0).contains(&at);
-        at += if burst { pause / 3.0 } else { pause };
+        at += match (overload, burst) {
+            (true, _) => pause / 5.0,
+            (_, true) => pause / 3.0,
+            _ => pause,
+        };
     }
     world.fault(65_000, Fault::Crash { node: 2, back_after: 5000 });
     world.run(WARM_MS);
@@ -61,12 +66,13 @@
 }
 
 fn main() {
+    let overload = std::env::args().any(|arg| arg == "overload");
     // Cargo passes flags of its own to benches.
     let sizes: Vec<usize> = std::env::args().skip(1).filter_map(|arg| arg.parse().ok()).collect();
     let sizes = if sizes.is_empty() { vec![750, 1500, 3000] } else { sizes };
     println!("{:>8} {:>9} {:>8} {:>11} {:>11} {:>9}", "machines", "input", "count", "mean us", "most us", "sum s");
     for machines in sizes {
-        let (costs, jobs, starts) = measure(machines);
+        let (costs, jobs, starts) = measure(machines, overload);
         for (kind, cost) in &costs {
             println!(
                 "{machines:>8} {kind:>9} {:>8} {:>11.1} {:>11.0} {:>9.2}",
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod budget;
 pub mod lifetimes;
+pub mod names;
 pub mod records;
 pub mod view;
--- /dev/null
+++ b/src/bookkeeping/names.rs
@@ -0,0 +1,83 @@
+//! Names that many records repeat (classes, teams, images), each kept once.
+//!
+//! Rounds compare names by the hundred thousand. Texts that are equal get the
+//! same label when a record is read, so that labels compare by address alone,
+//! at the cost of a small number.
+
+use foldhash::fast::FixedState;
+use std::collections::HashSet;
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+/// A name of a [`Names`]; labels of different ones must not be compared.
+#[derive(Debug, Clone)]
+pub struct Label(Arc<str>);
+
+impl Label {
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    fn address(&self) -> usize {
+        self.0.as_ptr() as usize
+    }
+}
+
+impl PartialEq for Label {
+    fn eq(&self, other: &Self) -> bool {
+        self.address() == other.address()
+    }
+}
+
+impl Eq for Label {}
+
+impl Hash for Label {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.address().hash(state);
+    }
+}
+
+/// Names below which nothing is tidied away.
+const FEW: usize = 256;
+
+/// All names in use.
+#[derive(Debug, Default)]
+pub struct Names {
+    known: HashSet<Arc<str>, FixedState>,
+    /// Names left when those out of use were last dropped.
+    kept: usize,
+}
+
+impl Names {
+    /// The label of a text. Memory follows the names in use, not all there ever
+    /// were: users choose them.
+    pub fn label(&mut self, text: &str) -> Label {
+        if let Some(known) = self.known.get(text) {
+            return Label(known.clone());
+        }
+        if self.known.len() >= 2 * self.kept.max(FEW) {
+            self.known.retain(|name| Arc::strong_count(name) > 1);
+            self.kept = self.known.len();
+        }
+        let name: Arc<str> = Arc::from(text);
+        self.known.insert(name.clone());
+        Label(name)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn equal_texts_get_one_label_and_unused_names_are_dropped() {
+        let mut names = Names::default();
+        let kept = names.label("img-a");
+        for n in 0..10_000 {
+            assert_ne!(names.label(&format!("img-{n}")), kept);
+        }
+        // Tidying must not give a name in use a second label.
+        assert_eq!(names.label("img-a"), kept);
+        assert!(names.known.len() <= 2 * FEW + 1, "{}", names.known.len());
+    }
+}
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -1,6 +1,7 @@
 //! A node's picture of all durable records, kept current by a watch, by its
 //! own committed transactions and by reads; versions decide what is newer.
 
+use super::names::{Label, Names};
 use super::records::{
     AllowanceRecord, End, FleetRecord, HolderRecord, JobRecord, Key, NodeRecord, PastRecord, SliceRecord, TaskRecord,
 };
@@ -148,6 +149,10 @@
     pub version: Revision,
     pub record: JobRecord,
     pub slices: Vec<Slice>,
+    /// The names of the specification, as the core compares them.
+    pub class: Label,
+    pub team: Label,
+    pub image: Label,
 }
 
 impl Job {
@@ -204,6 +209,7 @@
     /// Jobs that ended long ago, as far as they were asked for lately.
     past: BTreeMap<JobRef, PastRecord>,
     past_order: VecDeque<JobRef>,
+    pub names: Names,
     /// Slices that came before their job did.
     early: BTreeMap<(JobRef, usize), Held<SliceRecord>>,
 }
@@ -273,10 +279,14 @@
     }
 
     fn take_job(&mut self, id: &JobRef, record: JobRecord, at: Revision) -> bool {
+        let names = &mut self.names;
         let job = self.jobs.entry(id.clone()).or_insert_with(|| Job {
             version: Revision(0),
-            record: record.clone(),
             slices: vec![],
+            class: names.label(&record.spec.class),
+            team: names.label(&record.spec.team),
+            image: names.label(&record.spec.image),
+            record: record.clone(),
         });
         if at <= job.version {
             return false;
--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -63,7 +63,7 @@
                 continue;
             }
             let waiting = if job.record.end.is_some() { 0 } else { spec.tasks.saturating_sub(done + on) };
-            let run = self.learned.run_time(&spec.class, spec.estimate_s).max(1.0);
+            let run = self.learned.run_time(job).max(1.0);
             let left = self.allowed_s(job) - self.age_s(job);
             let (share_on, share_waiting) = if spec.kind == JobKind::Array {
                 {
@@ -133,7 +133,7 @@
     /// come free and still be in time.
     pub(super) fn pressing(&self, job: &Job, left: f64, ahead: f64) -> bool {
         let spec = &job.record.spec;
-        let run = self.learned.run_time(&spec.class, spec.estimate_s);
+        let run = self.learned.run_time(job);
         spec.kind != JobKind::Array || left < run * 2.2 + ahead
     }
 
@@ -150,8 +150,7 @@
                 continue;
             }
             if age < USUAL_S && spec.kind == JobKind::Array {
-                let (cpus, run) =
-                    (spec.cpus * f64::from(spec.tasks), self.learned.run_time(&spec.class, spec.estimate_s));
+                let (cpus, run) = (spec.cpus * f64::from(spec.tasks), self.learned.run_time(job));
                 all += cpus * run;
                 if self.pressing(job, self.allowed_s(job), ahead) {
                     pressing.push((cpus, run));
--- a/src/coordination/learned.rs
+++ b/src/coordination/learned.rs
@@ -6,7 +6,10 @@
 use super::scoring::remaining;
 use super::*;
 use crate::bookkeeping::lifetimes::{History, Life};
+use crate::bookkeeping::names::Label;
 use crate::bookkeeping::view::Job;
+use foldhash::fast::FixedState;
+use std::collections::HashMap;
 
 /// Kind, spot and zone: machines that share a history.
 type Family = (String, bool, String);
@@ -25,7 +28,7 @@
 #[derive(Debug, Default)]
 pub struct Learned {
     histories: BTreeMap<Family, History>,
-    ratios: BTreeMap<String, Ratio>,
+    ratios: HashMap<Label, Ratio, FixedState>,
     /// Per class that must start at once: mean cores of a job, and weight.
     job_cpus: BTreeMap<String, (f64, f64)>,
     pub(super) failures: Failures,
@@ -40,9 +43,9 @@
         self.histories.entry(family).or_default().add(Life { age_s, lost });
     }
 
-    pub fn learn_ratio(&mut self, class: &str, ratio: f64) {
+    pub fn learn_ratio(&mut self, class: &Label, ratio: f64) {
         let first = Ratio { mean_ln: 0.0, weight: 3.0, factor: 1.0 };
-        let entry = self.ratios.entry(class.to_string()).or_insert(first);
+        let entry = self.ratios.entry(class.clone()).or_insert(first);
         entry.mean_ln = (entry.mean_ln * entry.weight + ratio.clamp(0.1, 10.0).ln()) / (entry.weight + 1.0);
         entry.weight = (entry.weight + 1.0).min(100.0);
         entry.factor = entry.mean_ln.exp();
@@ -60,8 +63,8 @@
     }
 
     /// The owner's estimate, corrected by what its class has shown.
-    pub fn run_time(&self, class: &str, estimate_s: f64) -> f64 {
-        estimate_s * self.ratios.get(class).map_or(1.0, |r| r.factor)
+    pub fn run_time(&self, job: &Job) -> f64 {
+        job.record.spec.estimate_s * self.ratios.get(&job.class).map_or(1.0, |r| r.factor)
     }
 
     /// The lifetimes of machines like this one, if any ended.
@@ -85,7 +88,7 @@
         }
         let ran = self.now.since(*started).as_secs();
         let Some(job) = self.view.jobs.get(&key.0) else { return };
-        let (class, estimate) = (job.record.spec.class.clone(), job.record.spec.estimate_s);
+        let (class, estimate) = (job.class.clone(), job.record.spec.estimate_s);
         if estimate > 0.0 && ran > 0.5 {
             self.learned.learn_ratio(&class, ran / estimate);
         }
@@ -107,8 +110,7 @@
 
     /// Time a placed task still needs, its image included.
     pub(super) fn rest_of(&self, mine: &Mine, job: &Job, key: &TaskKey) -> f64 {
-        let spec = &job.record.spec;
-        self.rest_after(mine, self.learned.run_time(&spec.class, spec.estimate_s), key)
+        self.rest_after(mine, self.learned.run_time(job), key)
     }
 
     /// The same for a task whose run time is known already.
--- a/src/coordination/mine.rs
+++ b/src/coordination/mine.rs
@@ -2,6 +2,7 @@
 //! them, and the changes that are not durable yet.
 
 use super::*;
+use crate::bookkeeping::names::Label;
 use crate::bookkeeping::records::{AllowanceRecord, JobRecord};
 use crate::protocol::workers::TaskState;
 use crate::units::{Attempt, Seq, Session};
@@ -33,7 +34,7 @@
     /// The report that each start was last sent in answer to.
     pub sent: BTreeMap<TaskKey, (Session, Seq)>,
     /// Images the machine has or fetches, newest last, with their sizes.
-    pub images: Vec<(String, f64)>,
+    pub images: Vec<(Label, f64)>,
     /// Jobs whose tasks failed here since one last succeeded.
     pub failed_jobs: BTreeSet<JobRef>,
     pub faulty: bool,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,6 +1,7 @@
 //! The core: a state machine without I/O, clocks or randomness. Inputs and
 //! the time go in; what to send, write and answer comes out.
 
+mod aims;
 mod allowances;
 mod answering;
 mod boots;
@@ -34,6 +35,7 @@
 mod writing;
 
 use crate::bookkeeping::budget::Budget;
+use crate::bookkeeping::names::Label;
 use crate::bookkeeping::records;
 use crate::bookkeeping::view::View;
 use crate::protocol::cloud::{Catalog, MachineNames, MachinePage, MachineType, RentRequest};
@@ -224,6 +226,9 @@
     catalog_at: Option<Time>,
     cloud: fleet::Fleet,
     learned: learned::Learned,
+    aims: aims::Aims,
+    /// Teams with a guarantee: cores and GPUs.
+    guarantees: Vec<(Label, f64, f64)>,
     queries: Queries,
     withdrawal: withdrawing::Withdrawal,
     start: starting::Start,
@@ -237,6 +242,10 @@
         let names = settings.node_names();
         let share = names.len().max(1) as f64;
         let state = &settings.cluster.state;
+        let mut view = View::default();
+        let aims = aims::Aims::read(&settings.cluster.objectives, &mut view.names);
+        let guaranteed = settings.cluster.teams.iter().filter(|t| t.cpus > 0.0 || t.gpus > 0.0);
+        let guarantees = guaranteed.map(|t| (view.names.label(&t.name), t.cpus, t.gpus)).collect();
         Core {
             me: NodeName::new(&settings.node),
             parts: names.len() as u32,
@@ -253,7 +262,9 @@
             out: vec![],
             last_call: 0,
             calls: BTreeMap::new(),
-            view: View::default(),
+            view,
+            aims,
+            guarantees,
             loaded: false,
             loading: false,
             watching: false,
--- a/src/coordination/openings.rs
+++ b/src/coordination/openings.rs
@@ -4,7 +4,7 @@
 pub(super) type Amounts = [f64; 3];
 
 pub(super) fn fits(free: &Amounts, need: &Amounts) -> bool {
-    free.iter().zip(need).all(|(f, n)| *f + 1e-6 >= *n)
+    free[0] + 1e-6 >= need[0] && free[1] + 1e-6 >= need[1] && free[2] + 1e-6 >= need[2]
 }
 
 pub(super) fn shift(free: &mut Amounts, by: &Amounts, sign: f64) {
@@ -16,11 +16,13 @@
     pub free: Amounts,
     /// What is freed (or, if negative, booked) from when on; times rising.
     steps: Vec<(f64, Amounts)>,
+    /// Steps up to the last one that books: after it, room only grows.
+    booked: usize,
 }
 
 impl Openings {
     pub fn new(free: Amounts) -> Openings {
-        Openings { free, steps: vec![] }
+        Openings { free, steps: vec![], booked: 0 }
     }
 
     /// Takes what a task on the machine holds, until it ends. After the last
@@ -43,7 +45,10 @@
     pub fn wait(&self, need: &Amounts) -> Option<f64> {
         let mut free = self.free;
         let mut since = fits(&free, need).then_some(0.0);
-        for (at, freed) in &self.steps {
+        for (place, (at, freed)) in self.steps.iter().enumerate() {
+            if since.is_some() && place >= self.booked {
+                break;
+            }
             shift(&mut free, freed, 1.0);
             since = if fits(&free, need) { since.or(Some(*at)) } else { None };
         }
@@ -64,6 +69,12 @@
     fn step(&mut self, at: f64, freed: Amounts) {
         let place = self.steps.partition_point(|(t, _)| *t <= at);
         self.steps.insert(place, (at, freed));
+        if freed.iter().any(|amount| *amount < 0.0) {
+            self.booked = self.booked.max(place);
+            self.booked += 1;
+        } else if place < self.booked {
+            self.booked += 1;
+        }
     }
 }
 
--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -102,7 +102,7 @@
                 spec.estimate_s,
                 job.record.plan
             );
-            if self.wants_quick_start(&spec.class) {
+            if self.wants_quick_start(&job.class) {
                 let (class, cpus) = (spec.class.clone(), spec.cpus * f64::from(spec.tasks));
                 self.learned.saw_job(&class, cpus);
             }
--- a/src/coordination/preempting.rs
+++ b/src/coordination/preempting.rs
@@ -5,6 +5,7 @@
 use super::openings::{fits, shift};
 use super::rounds::Short;
 use super::seats::needs;
+use super::waiting::JobSet;
 use super::*;
 use crate::bookkeeping::view::Job;
 use crate::protocol::users::Priority;
@@ -46,7 +47,7 @@
 
 impl Core {
     /// Stops lesser tasks where that lets waiting tasks start sooner.
-    pub(super) fn make_room(&mut self, part: PartId, short: &[Short], guaranteed: &BTreeSet<JobRef>) {
+    pub(super) fn make_room(&mut self, part: PartId, short: &[Short], guaranteed: &JobSet) {
         let worth = |lack: &&Short| {
             let job = self.view.jobs.get(&lack.job);
             job.is_some_and(|job| self.worth_stopping_for(job, lack.wait_s, guaranteed.contains(&lack.job)))
@@ -113,7 +114,7 @@
         if within {
             return wait_s > TAKE_BACK_S;
         }
-        let run = self.learned.run_time(&spec.class, spec.estimate_s);
+        let run = self.learned.run_time(job);
         let spare = self.allowed_s(job) - self.age_s(job) - run;
         spare > -5.0 && wait_s + 15.0 > spare && wait_s > NEARLY_DONE_S
     }
@@ -131,7 +132,7 @@
 
     /// Tasks of a machine that may be stopped at all: the lowest priority and
     /// the least loss first.
-    fn victims(&self, part: PartId, machine: &MachineId, guaranteed: &BTreeSet<JobRef>) -> Vec<Victim<'_>> {
+    fn victims(&self, part: PartId, machine: &MachineId, guaranteed: &JobSet) -> Vec<Victim<'_>> {
         let Some(mine) = self.mine.get(&part) else { return vec![] };
         let mut victims = vec![];
         for key in mine.on.get(machine).into_iter().flatten().filter(|k| !mine.stopping.contains_key(*k)) {
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -2,22 +2,32 @@
 //! least, which may mean waiting for a busy machine.
 
 use super::mine::TaskKey;
-use super::openings::fits;
-use super::seats::{Seat, Spread};
+use super::openings::{fits, Amounts};
+use super::seats::{Seat, Shapes, Spread};
+use super::waiting::JobSet;
 use super::*;
 use crate::bookkeeping::records::TaskRecord;
 use crate::bookkeeping::view::Job;
 use crate::protocol::users::JobKind;
-use crate::settings::Objective;
 use crate::units::Attempt;
 
 /// Tasks of one job that a round looks at to find that they wait.
 const MOST_WAITS: usize = 32;
 
-/// Seats that a round scores before it looks only at jobs with room now, and
-/// before it ends: its length must not grow with machines times waiting jobs.
-const MOST_SCORES: usize = 64_000;
-const LAST_SCORES: usize = 3 * MOST_SCORES;
+/// Seats that a round scores before it looks only at jobs with room now, if
+/// the settings do not say what share of a core there is; it ends after three
+/// times as many: its length must not grow with machines times waiting jobs.
+const USUAL_SCORES: usize = 64_000;
+
+/// Seats that a round may score however small the share of a core.
+const LEAST_SCORES: usize = 8000;
+
+/// Processor time that scoring a seat takes, in seconds (`cargo bench --bench cost`).
+const SCORE_S: f64 = 2e-7;
+
+/// The largest share of its processor time that a node spends on scores which
+/// start nothing.
+const SCORE_SHARE: f64 = 0.5;
 
 /// Machines that fetch images at least this share as fast as the fastest hold the reserve.
 const PRIME: f64 = 0.75;
@@ -25,6 +35,9 @@
 /// The largest share of a part that is kept free.
 const MOST_RESERVED: f64 = 0.02;
 
+/// Kinds of work remembered as finding no room; others are looked for again.
+const MOST_CLOSED: usize = 64;
+
 /// A job whose tasks found no room in a round, and when there may be some.
 pub(super) struct Short {
     pub job: JobRef,
@@ -81,7 +94,7 @@
         }
     }
 
-    fn round(&mut self, part: PartId, order: &[JobRef], guaranteed: &BTreeSet<JobRef>) {
+    fn round(&mut self, part: PartId, order: &[JobRef], guaranteed: &JobSet) {
         let waits_here = |id: &&JobRef| self.view.jobs.get(*id).is_some_and(|job| waits_in(job, part));
         let order: Vec<&JobRef> = order.iter().filter(waits_here).collect();
         if order.is_empty() {
@@ -101,16 +114,30 @@
         let mut spare: f64 = seats.iter().filter(|s| prime(s)).map(|s| s.openings.free[0].max(0.0)).sum();
         let mut short: Vec<Short> = vec![];
         let mut scored = 0;
+        let most_scores = self.most_scores();
+        let cores: f64 = seats.iter().map(|s| s.type_.cpus).sum();
+        let mut promised = 0.0;
+        let mut shapes = Shapes::default();
+        let mut closed = Closed::default();
         for id in order {
-            if places.len() >= self.tuning.round_limit || scored >= LAST_SCORES {
+            if places.len() >= self.tuning.round_limit || scored >= 3 * most_scores {
                 break;
             }
             let Some(job) = self.view.jobs.get(id) else { continue };
-            let claim = self.claim(job);
+            let claim = self.claim(job, &mut shapes);
             let need = claim.need;
-            // What has scored enough seats that wait leaves the rest to jobs
-            // which may start at once.
-            if scored >= MOST_SCORES && !seats.iter().any(|s| fits(&s.openings.free, &need)) {
+            // What is left there is for work that must start at once.
+            let kept = |spare: f64| !claim.quick() && reserve > 0.0 && spare - need[0] < reserve;
+            let at_once = !closed.to(&need, claim.quick()) && {
+                let kept = kept(spare);
+                let open = seats.iter().any(|s| fits(&s.openings.free, &need) && !(kept && prime(s)));
+                closed.learn(&need, claim.quick(), open);
+                open
+            };
+            // Once all of the part is promised to what goes before, or enough
+            // seats are scored, a job that cannot start now gains nothing from
+            // being told when it may: the next round knows better.
+            if !at_once && (promised >= cores || scored >= most_scores) {
                 continue;
             }
             let limits = self.allowance(part, &job.record.spec.team);
@@ -119,12 +146,28 @@
                 // What is left of an earlier try must be gone first.
                 continue;
             }
-            let before = (places.len(), gang.then(|| (seats.clone(), used.clone())));
+            let over_limit = |used: (f64, f64)| {
+                let over = |limit: Option<f64>, used: f64, need: f64| limit.is_some_and(|l| used + need > l + 1e-9);
+                over(limits.0, used.0, need[0]) || over(limits.1, used.1, need[1])
+            };
+            if over_limit(used.get(&job.record.spec.team).copied().unwrap_or_default()) {
+                // No task of it may start, wherever there is room. Only a part
+                // with room for a task has use for more of its team's limit.
+                if at_once {
+                    let tasks = idle_in(job, part).min(if gang { 1 } else { MOST_WAITS }) as f64;
+                    let lack = wanted.entry(job.record.spec.team.clone()).or_default();
+                    lack.0 += need[0] * tasks;
+                    lack.1 += need[1] * tasks;
+                }
+                continue;
+            }
+            let before = (places.len(), gang.then(|| (seats.clone(), used.clone(), promised)));
             let mut spread = self.spread(part, id, job);
             let suspect = self.suspect(id);
             let failed = |seat: &Seat| !suspect && seat.machine.failed_jobs.contains(id);
-            let candidates = |seats: &[Seat], spread: &Spread| self.candidates(seats, &claim, spread, |s| !failed(s));
-            let mut heap = candidates(&seats, &spread);
+            let candidates =
+                |seats: &mut [Seat], spread: &Spread| self.candidates(seats, &claim, spread, |s| !failed(s));
+            let mut heap = candidates(&mut seats, &spread);
             scored += seats.len();
             let mut full = false;
             let mut waits = 0;
@@ -141,11 +184,8 @@
                     if full || (!gang && places.len() >= self.tuning.round_limit) {
                         break;
                     }
-                    let over = |limit: Option<f64>, used: f64, need: f64| limit.is_some_and(|l| used + need > l + 1e-9);
-                    let over = over(limits.0, team.0, need[0]) || over(limits.1, team.1, need[1]);
-                    // What is left there is for work that must start at once.
                     // Spare room only shrinks: what is closed to the job stays so.
-                    let kept = !claim.quick() && reserve > 0.0 && spare - need[0] < reserve;
+                    let kept = kept(spare);
                     while kept && heap.peek().is_some_and(|best| prime(&seats[best.seat])) {
                         heap.pop();
                     }
@@ -155,9 +195,7 @@
                         continue;
                     };
                     let wait = best.wait_s;
-                    if over {
-                        // Only a part with room for a task has use for more of its
-                        // team's limit.
+                    if over_limit(*team) {
                         if wait <= 0.0 {
                             let lack = wanted.entry(job.record.spec.team.clone()).or_default();
                             lack.0 += need[0];
@@ -169,11 +207,12 @@
                     }
                     heap.pop();
                     let seat = &mut seats[best.seat];
-                    seat.openings.book(&need, wait, wait + best.hold_s);
+                    seat.book(&need, wait, wait + best.hold_s);
                     heap.extend(self.candidate(best.seat, seat, &claim));
                     scored += 1;
                     if wait > 0.0 {
                         waits += 1;
+                        promised += need[0];
                         lacking.tasks += 1;
                         lacking.wait_s = lacking.wait_s.min(wait);
                         full = gang || waits >= MOST_WAITS;
@@ -186,7 +225,7 @@
                     }
                     if job.record.spec.whole() {
                         *spread.by_zone.entry(seat.machine.zone.clone()).or_default() += 1;
-                        heap = candidates(&seats, &spread);
+                        heap = candidates(&mut seats, &spread);
                         scored += seats.len();
                     }
                     // One task at a time shows whether it still fails.
@@ -198,11 +237,12 @@
             if lacking.tasks > 0 && !suspect {
                 short.push(lacking);
             }
-            if let (true, (count, Some((seats_before, used_before)))) = (full, before) {
+            if let (true, (count, Some((seats_before, used_before, promised_before)))) = (full, before) {
                 // Not all of the gang can start now: none does.
                 places.truncate(count);
                 seats = seats_before;
                 used = used_before;
+                promised = promised_before;
             }
         }
         self.log_part(part, &seats, places.len(), &short);
@@ -233,9 +273,19 @@
 
     /// True if tasks of the class must start sooner than a machine rented for
     /// them would be up.
-    pub(super) fn wants_quick_start(&self, class: &str) -> bool {
+    pub(super) fn wants_quick_start(&self, class: &Label) -> bool {
         let boot_s = self.catalog.values().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
-        starts_before(&self.settings.cluster.objectives, class, boot_s)
+        self.aims.start_before(class, boot_s)
+    }
+
+    /// Seats that a round of one part scores before it looks only at jobs with
+    /// room now: what this node's share of a core can do between two rounds.
+    fn most_scores(&self) -> usize {
+        let scores = self.settings.cluster.quota.cpu_share.map(|share| {
+            let time_s = share * SCORE_SHARE * self.tuning.round_ms as f64 / 1000.0;
+            (time_s / SCORE_S / self.mine.len().max(1) as f64) as usize
+        });
+        scores.unwrap_or(USUAL_SCORES).max(LEAST_SCORES)
     }
 
     /// Cores that a part keeps free for work that must start at once: those
@@ -250,11 +300,28 @@
     job.slices.iter().enumerate().any(|(index, slice)| slice.idle() > 0 && job.part_of(index) == Some(part))
 }
 
-/// True if an aim wants tasks of the class to start within less than `boot_s`.
-/// An aim on longer waits is no claim on the reserve: such a class would eat it.
-fn starts_before(aims: &[Objective], class: &str, boot_s: f64) -> bool {
-    let quick = |o: &Objective| o.within_s.is_some_and(|within| within < boot_s);
-    aims.iter().any(|o| o.kind == "wait" && o.class.as_deref() == Some(class) && quick(o))
+/// Tasks of the job that wait in the part.
+fn idle_in(job: &Job, part: PartId) -> usize {
+    let slices = job.slices.iter().enumerate().filter(|(index, _)| job.part_of(*index) == Some(part));
+    slices.map(|(_, slice)| slice.idle() as usize).sum()
+}
+
+/// What is known to find no room in a round. Room only shrinks in it, but for
+/// a gang that gives back what it took itself.
+#[derive(Default)]
+struct Closed(Vec<(Amounts, bool)>);
+
+impl Closed {
+    /// True if nothing that takes as much, quick or not, can start any more.
+    fn to(&self, need: &Amounts, quick: bool) -> bool {
+        self.0.iter().any(|(n, q)| n == need && *q == quick)
+    }
+
+    fn learn(&mut self, need: &Amounts, quick: bool, open: bool) {
+        if !open && self.0.len() < MOST_CLOSED {
+            self.0.push((*need, quick));
+        }
+    }
 }
 
 /// True for machines that hold the reserve: those that fetch images fastest.
@@ -268,16 +335,7 @@
     use super::*;
 
     #[test]
-    fn the_reserve_is_for_short_waits_on_machines_that_fetch_fast() {
-        let aim = |kind: &str, within_s| Objective {
-            kind: kind.into(),
-            class: Some("lists".into()),
-            within_s: Some(within_s),
-            share: None,
-        };
-        assert!(starts_before(&[aim("wait", 180.0), aim("wait", 3.0)], "lists", 15.0));
-        assert!(!starts_before(&[aim("wait", 180.0), aim("finished", 3.0)], "lists", 15.0));
-        assert!(!starts_before(&[aim("wait", 3.0)], "rolls", 15.0));
+    fn the_reserve_is_on_machines_that_fetch_fast() {
         assert!(holds_reserve(0.8, 0.8) && !holds_reserve(0.2, 0.8) && holds_reserve(0.0, 0.0));
     }
 }
--- a/src/coordination/seats.rs
+++ b/src/coordination/seats.rs
@@ -2,7 +2,7 @@
 //! for a task: the one of least expected completion.
 
 use super::mine::Machine;
-use super::openings::Openings;
+use super::openings::{Amounts, Openings};
 use super::scoring::{expected_completion, Prospect};
 use super::*;
 use crate::bookkeeping::lifetimes::History;
@@ -32,6 +32,47 @@
     /// Price per core.
     price: f64,
     pub openings: Openings,
+    /// Waits worked out for what jobs take, by the round's number of it; all
+    /// are forgotten when room is booked.
+    waits: Vec<Option<Wait>>,
+}
+
+/// Time until there is room; none if there never is.
+type Wait = Option<f64>;
+
+impl Seat<'_> {
+    pub fn book(&mut self, need: &Amounts, wait_s: f64, until_s: f64) {
+        self.openings.book(need, wait_s, until_s);
+        self.waits.clear();
+    }
+
+    /// Time until there is room for what the claim takes.
+    fn wait(&mut self, claim: &Claim) -> Wait {
+        let Some(shape) = claim.shape else { return self.openings.wait(&claim.need) };
+        if self.waits.len() <= shape {
+            self.waits.resize(shape + 1, None);
+        }
+        *self.waits[shape].get_or_insert_with(|| self.openings.wait(&claim.need))
+    }
+}
+
+/// What jobs of one round take, numbered: most classes take the same for all
+/// their jobs, and what a seat has for one it has for the next.
+#[derive(Default)]
+pub(super) struct Shapes(Vec<Amounts>);
+
+/// Shapes that are told apart; jobs beyond them are worked out one by one.
+const MOST_SHAPES: usize = 64;
+
+impl Shapes {
+    fn number(&mut self, need: &Amounts) -> Option<usize> {
+        let known = self.0.iter().position(|n| n == need);
+        if known.is_none() && self.0.len() < MOST_SHAPES {
+            self.0.push(*need);
+            return Some(self.0.len() - 1);
+        }
+        known
+    }
 }
 
 /// Cores, GPUs and memory that a task of the job takes.
@@ -83,7 +124,9 @@
 /// What all tasks of a job have in common for one round.
 pub(super) struct Claim<'a> {
     pub job: &'a Job,
-    pub need: [f64; 3],
+    pub need: Amounts,
+    /// The round's number of what it takes.
+    shape: Option<usize>,
     run_s: f64,
     quick: bool,
 }
@@ -96,7 +139,7 @@
     /// Time to fetch the job's image, if the machine lacks it.
     fn fetch_s(&self, seat: &Seat) -> f64 {
         let spec = &self.job.record.spec;
-        let there = seat.machine.images.iter().any(|(name, _)| *name == spec.image);
+        let there = seat.machine.images.iter().any(|(name, _)| *name == self.job.image);
         if there || seat.type_.fetch_gb_per_s <= 0.0 {
             0.0
         } else {
@@ -106,13 +149,14 @@
 }
 
 impl Core {
-    pub(super) fn claim<'a>(&self, job: &'a Job) -> Claim<'a> {
-        let spec = &job.record.spec;
+    pub(super) fn claim<'a>(&self, job: &'a Job, shapes: &mut Shapes) -> Claim<'a> {
+        let need = needs(&job.record);
         Claim {
             job,
-            need: needs(&job.record),
-            run_s: self.learned.run_time(&spec.class, spec.estimate_s),
-            quick: self.wants_quick_start(&spec.class),
+            need,
+            shape: shapes.number(&need),
+            run_s: self.learned.run_time(job),
+            quick: self.wants_quick_start(&job.class),
         }
     }
 
@@ -143,10 +187,7 @@
                 let found = match last {
                     Some((id, found)) if Arc::ptr_eq(&id.0, &key.0 .0) || *id == key.0 => found,
                     _ => {
-                        let found = self.view.jobs.get(&key.0).map(|job| {
-                            let spec = &job.record.spec;
-                            (job, self.learned.run_time(&spec.class, spec.estimate_s))
-                        });
+                        let found = self.view.jobs.get(&key.0).map(|job| (job, self.learned.run_time(job)));
                         last = Some((&key.0, found));
                         found
                     }
@@ -171,7 +212,7 @@
             let price = if machine.spot { type_.spot_price.unwrap_or(type_.price) } else { type_.price };
             let price = price / type_.cpus.max(1e-6);
             let history = self.learned.history(machine).filter(|_| self.tuning.use_lifetimes);
-            seats.push(Seat { name, machine, type_, history, age_s, price, openings });
+            seats.push(Seat { name, machine, type_, history, age_s, price, openings, waits: vec![] });
         }
         seats
     }
@@ -199,7 +240,7 @@
     /// tasks of a job cost little more than one.
     pub(super) fn candidates(
         &self,
-        seats: &[Seat],
+        seats: &mut [Seat],
         claim: &Claim,
         spread: &Spread,
         open: impl Fn(&Seat) -> bool,
@@ -207,15 +248,15 @@
         if spread.unknown {
             return BinaryHeap::new();
         }
-        let fit = |(_, seat): &(usize, &Seat)| open(seat) && self.allowed(claim.job, seat, spread);
-        let seats = seats.iter().enumerate().filter(fit);
+        let fit = |seat: &Seat| open(seat) && self.allowed(claim.job, seat, spread);
+        let seats = seats.iter_mut().enumerate().filter(|(_, seat)| fit(seat));
         seats.filter_map(|(index, seat)| self.candidate(index, seat, claim)).collect()
     }
 
     /// How good a seat is for the job's next task; none if it never has room.
-    pub(super) fn candidate(&self, index: usize, seat: &Seat, claim: &Claim) -> Option<Candidate> {
+    pub(super) fn candidate(&self, index: usize, seat: &mut Seat, claim: &Claim) -> Option<Candidate> {
         let spec = &claim.job.record.spec;
-        let wait_s = seat.openings.wait(&claim.need)?;
+        let wait_s = seat.wait(claim)?;
         let service = spec.kind == JobKind::Standing;
         if wait_s > 0.0 && (service || !self.tuning.may_wait) {
             return None;
--- a/src/coordination/waiting.rs
+++ b/src/coordination/waiting.rs
@@ -2,8 +2,14 @@
 
 use super::queue::{serve_order, Contender};
 use super::*;
+use crate::bookkeeping::names::Label;
 use crate::bookkeeping::view::Job;
 use crate::protocol::users::Priority;
+use foldhash::fast::FixedState;
+use std::collections::HashSet;
+
+/// Jobs that are asked about often, in no order that means anything.
+pub(super) type JobSet = HashSet<JobRef, FixedState>;
 
 /// Not of a high priority, not within a guarantee, the priority: less first.
 type Precedence = (bool, bool, std::cmp::Reverse<Priority>);
@@ -12,19 +18,19 @@
     /// Jobs with work left, in the order they are served: priority first,
     /// then work within a guarantee, then the least time to spare. What cannot
     /// be in time with all that goes before it yields.
-    pub(super) fn waiting_jobs(&self, guaranteed: &BTreeSet<JobRef>) -> Vec<JobRef> {
-        let mut queue: Vec<Contender<Precedence, JobRef>> = vec![];
-        let mut ours: BTreeSet<&JobRef> = BTreeSet::new();
+    pub(super) fn waiting_jobs(&self, guaranteed: &JobSet) -> Vec<JobRef> {
+        // With whether tasks of ours wait.
+        let mut queue: Vec<Contender<Precedence, (&JobRef, bool)>> = vec![];
+        let mut any_ours = false;
         for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id) else { continue };
             if job.record.end.is_some() || self.held_back(id, job) {
                 continue;
             }
-            if job.slices.iter().any(|s| s.idle() > 0) {
-                ours.insert(id);
-            }
+            let ours = job.slices.iter().any(|s| s.idle() > 0);
+            any_ours |= ours;
             let spec = &job.record.spec;
-            let run_s = self.learned.run_time(&spec.class, spec.estimate_s);
+            let run_s = self.learned.run_time(job);
             let (done, on) = job.counts();
             let left = f64::from(spec.tasks.saturating_sub(done + on)) + f64::from(on) * 0.5;
             queue.push(Contender {
@@ -33,14 +39,14 @@
                 run_s,
                 work: left * spec.cpus * run_s,
                 at: job.record.at,
-                id: id.clone(),
+                id: (id, ours),
             });
         }
-        if ours.is_empty() {
+        if !any_ours {
             return vec![];
         }
         let order = serve_order(queue, self.cluster_cpus());
-        order.into_iter().filter(|id| ours.contains(id)).collect()
+        order.into_iter().filter(|(_, ours)| *ours).map(|(id, _)| id.clone()).collect()
     }
 
     /// Cores of all parts, judged by ours: machines hash to parts evenly.
@@ -62,34 +68,17 @@
         if let Some(deadline) = spec.deadline_s {
             return deadline;
         }
-        let soonest = self.age_s(job) + 0.5 * self.learned.run_time(&spec.class, spec.estimate_s);
-        let aims = self.settings.cluster.objectives.iter();
-        let within =
-            aims.filter(|o| o.class.as_deref() == Some(&spec.class) && o.kind == "finished").filter_map(|o| o.within_s);
-        let (mut open, mut last) = (f64::INFINITY, f64::NEG_INFINITY);
-        for within_s in within {
-            last = last.max(within_s);
-            if within_s >= soonest {
-                open = open.min(within_s);
-            }
-        }
-        match (open.is_finite(), last.is_finite()) {
-            (true, _) => open,
-            (false, true) => last,
-            _ => 600.0 + spec.estimate_s * 3.0,
-        }
+        let soonest_s = self.age_s(job) + 0.5 * self.learned.run_time(job);
+        self.aims.finish_within_s(&job.class, soonest_s).unwrap_or(600.0 + spec.estimate_s * 3.0)
     }
 
     /// Jobs that fit into their team's guarantee along with its earlier ones.
-    pub(super) fn guaranteed_jobs(&self) -> BTreeSet<JobRef> {
-        let teams = &self.settings.cluster.teams;
-        let mut left: BTreeMap<&str, [f64; 2]> = teams
-            .iter()
-            .filter(|t| t.cpus > 0.0 || t.gpus > 0.0)
-            .map(|t| (t.name.as_str(), [t.cpus, t.gpus]))
-            .collect();
+    pub(super) fn guaranteed_jobs(&self) -> JobSet {
+        // A handful of teams: looked through faster than a map.
+        let mut left: Vec<(&Label, [f64; 2])> =
+            self.guarantees.iter().map(|(team, cpus, gpus)| (team, [*cpus, *gpus])).collect();
         if left.is_empty() {
-            return BTreeSet::new();
+            return JobSet::default();
         }
         let mut jobs: Vec<(&JobRef, &Job)> = self
             .view
@@ -97,14 +86,14 @@
             .iter()
             .filter_map(|id| Some((id, self.view.jobs.get(id)?)))
             .filter(|(id, j)| {
-                j.record.end.is_none() && left.contains_key(j.record.spec.team.as_str()) && !self.suspect(id)
+                j.record.end.is_none() && left.iter().any(|(team, _)| **team == j.team) && !self.suspect(id)
             })
             .collect();
         jobs.sort_by(|(a_id, a), (b_id, b)| (a.record.at, a_id).cmp(&(b.record.at, b_id)));
-        let mut within = BTreeSet::new();
+        let mut within = JobSet::default();
         for (id, job) in jobs {
             let spec = &job.record.spec;
-            let Some(room) = left.get_mut(spec.team.as_str()) else { continue };
+            let Some((_, room)) = left.iter_mut().find(|(team, _)| **team == job.team) else { continue };
             let tasks = f64::from(spec.tasks);
             room[0] -= spec.cpus * tasks;
             room[1] -= spec.gpus * tasks;
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -171,10 +171,10 @@
     }
 
     fn remember_image(&mut self, part: PartId, machine: &MachineId, job: &JobRef) {
-        let Some(spec) = self.view.jobs.get(job).map(|j| &j.record.spec) else { return };
+        let Some(job) = self.view.jobs.get(job) else { return };
         let Some(m) = self.mine.get_mut(&part).and_then(|m| m.machines.get_mut(machine)) else { return };
-        m.images.retain(|(name, _)| *name != spec.image);
-        m.images.push((spec.image.clone(), spec.image_gb));
+        m.images.retain(|(name, _)| *name != job.image);
+        m.images.push((job.image.clone(), job.record.spec.image_gb));
         let room = self.catalog.get(&m.kind).map_or(0.0, |t| t.cache_gb);
         while m.images.len() > 1 && m.images.iter().map(|i| i.1).sum::<f64>() > room {
             m.images.remove(0);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -109,6 +109,9 @@
 
 #[derive(Debug, Clone, Deserialize)]
 pub struct Quota {
+    /// Share of one core; none: not said.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
     pub ram_mb: f64,
     pub fd_limit: usize,
 }
--- a/tools/scale_site.py
+++ b/tools/scale_site.py
@@ -1,13 +1,14 @@
 #!/usr/bin/env python3
 """Makes a larger site file out of one that the operators gave.
 
-    tools/scale_site.py SITE.toml OUT.toml [--times 2] [--nodes 7] [--zones a,b,c]
+    tools/scale_site.py SITE.toml OUT.toml [--times 2] [--nodes 7] [--zones a,b,c] [--restart 0.2]
 
 Machines, arrivals, first jobs, teams' cores and the state service's limits grow
 by --times. With --nodes there are so many controllers. With --zones machines and
-controllers are spread over these zones instead. Write OUT outside the
-repository: nothing of the operators' files belongs into it. The file of wire
-words stays where it is and is named by its full path.
+controllers are spread over these zones instead. With --restart a controller that
+ended is started again after so many seconds. Write OUT outside the repository:
+nothing of the operators' files belongs into it. The file of wire words stays
+where it is and is named by its full path.
 """
 import argparse
 import pathlib
@@ -48,6 +49,7 @@
     args.add_argument("out", type=pathlib.Path)
     args.add_argument("--times", type=float, default=1.0)
     args.add_argument("--nodes", type=int)
+    args.add_argument("--restart", type=float)
     args.add_argument("--zones", type=lambda text: text.split(","))
     opt = args.parse_args()
     repository = pathlib.Path(__file__).resolve().parent.parent
@@ -67,6 +69,8 @@
             old_zones = re.findall(r'"([^"]+)"', re.search(r"^zones = \[(.*)\]", block, re.M).group(1))
             if opt.nodes:
                 block = re.sub(r"^count = \d+", f"count = {opt.nodes}", block, flags=re.M)
+            if opt.restart is not None:
+                block = re.sub(r"^restart_delay_s = .*", f"restart_delay_s = {opt.restart}", block, flags=re.M)
             if opt.zones:
                 names = ", ".join(f'"{zone}"' for zone in opt.zones)
                 block = re.sub(r"^zones = \[.*\]", f"zones = [{names}]", block, flags=re.M)
