--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -209,6 +209,93 @@
     MachineFaulty {
         pick: usize,
     },
+    /// The process ends the next time that a node does something, and is
+    /// started again at once. What it just asked for is carried out so much
+    /// later, in the time of its next life perhaps, or never.
+    EndsAt {
+        node: usize,
+        moment: Moment,
+        back_after: u64,
+        late: Option<u64>,
+    },
+}
+
+/// What a controller is in the middle of, told by what it asks of others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Moment {
+    /// Reading all records.
+    Reads,
+    /// Its lease, and the key that shows it to the others.
+    Leases,
+    Announces,
+    /// Ownership of a part for itself.
+    Claims,
+    /// A part on its way to another node.
+    HandsOver,
+    Leads,
+    GivesAllowance,
+    /// A rental's name, before the call, and the call.
+    NamesRental,
+    Rents,
+    /// A key that lets it answer workers for an owner.
+    Keeps,
+    /// Tasks' records.
+    Writes,
+}
+
+impl Moment {
+    pub const ALL: [Moment; 11] = [
+        Moment::Reads,
+        Moment::Leases,
+        Moment::Announces,
+        Moment::Claims,
+        Moment::HandsOver,
+        Moment::Leads,
+        Moment::GivesAllowance,
+        Moment::NamesRental,
+        Moment::Rents,
+        Moment::Keeps,
+        Moment::Writes,
+    ];
+
+    /// What a node does by sending this, if it is any of these.
+    fn of(node: &str, output: &Output) -> Option<Moment> {
+        match output {
+            Output::State(_, StateCall::List { .. }) => Some(Moment::Reads),
+            Output::State(_, StateCall::Grant { .. }) => Some(Moment::Leases),
+            Output::State(_, StateCall::Txn(txn)) => txn.changes.iter().find_map(|change| {
+                let Change::Put { put, value, .. } = change else { return None };
+                Some(match put.split('/').nth(1)? {
+                    "n" => Moment::Announces,
+                    "o" if value["node"] == node => Moment::Claims,
+                    "o" => Moment::HandsOver,
+                    "l" => Moment::Leads,
+                    "a" => Moment::GivesAllowance,
+                    "f" => Moment::NamesRental,
+                    "w" => Moment::Keeps,
+                    "s" => Moment::Writes,
+                    _ => return None,
+                })
+            }),
+            Output::Cloud(_, CloudCall::Rent(_)) => Some(Moment::Rents),
+            _ => None,
+        }
+    }
+}
+
+/// How the jobs of a class or team were served, of those that came early enough.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Served {
+    pub came: usize,
+    pub started: usize,
+    pub done: usize,
+}
+
+impl Served {
+    /// The operators call a day failed on which less than half is served.
+    pub fn enough(&self) -> bool {
+        2 * self.started >= self.came && 2 * self.done >= self.came
+    }
 }
 
 enum Due {
@@ -396,6 +483,8 @@
 
 pub struct Job {
     pub spec: JobSpec,
+    /// When its user first asked.
+    came: u64,
     accepted: bool,
     cancel_told: Option<u64>,
     done_told: bool,
@@ -435,6 +524,9 @@
     pub mistaken: BTreeSet<JobRef>,
     /// Starts per job.
     pub tries: BTreeMap<JobRef, usize>,
+    /// Nodes that are to end in the middle of something, and how often any did.
+    traps: Vec<(usize, Moment, u64, Option<u64>)>,
+    pub sprung: BTreeMap<Moment, usize>,
     /// Requests of users that were told to come back.
     pub refused: usize,
     /// Rules seen broken.
@@ -520,6 +612,8 @@
             slow_boots: (0, 1, 0),
             mistaken: BTreeSet::new(),
             tries: BTreeMap::new(),
+            traps: vec![],
+            sprung: BTreeMap::new(),
             refused: 0,
             broken: vec![],
             starts: 0,
@@ -673,6 +767,7 @@
                 let id = spec.id.clone();
                 self.jobs.entry(id.clone()).or_insert_with(|| Job {
                     spec: spec.clone(),
+                    came: self.now,
                     accepted: false,
                     cancel_told: None,
                     done_told: false,
@@ -722,6 +817,10 @@
         self.costs.entry(kind).or_default().add(began.elapsed().as_nanos() as u64);
         let life = n.life;
         for output in outputs {
+            if self.springs(node, &output) {
+                // What it was about to send after this is never sent.
+                return;
+            }
             match output {
                 Output::Reply(id, reply) => self.replied(node, id, reply),
                 Output::State(id, call) => {
@@ -740,6 +839,27 @@
         }
     }
 
+    /// Ends a node that is to end when it sends this; true if it did.
+    fn springs(&mut self, node: usize, output: &Output) -> bool {
+        let Some(moment) = Moment::of(&format!("n{node}"), output).filter(|_| !self.traps.is_empty()) else {
+            return false;
+        };
+        let Some(at) = self.traps.iter().position(|trap| trap.0 == node && trap.1 == moment) else { return false };
+        let (_, _, back_after, late) = self.traps.swap_remove(at);
+        *self.sprung.entry(moment).or_default() += 1;
+        // Nobody is left to take the answer.
+        let gone = u32::MAX;
+        match (output, late) {
+            (Output::State(id, call), Some(late)) => {
+                self.at(self.now + late, Due::State(node, gone, *id, call.clone(), 0));
+            }
+            (Output::Cloud(id, call), Some(late)) => self.at(self.now + late, Due::Cloud(node, gone, *id, call.clone())),
+            _ => {}
+        }
+        self.strike(Fault::Crash { node, back_after });
+        true
+    }
+
     fn tell(&mut self, node: usize, note: Note) {
         for peer in (0..self.nodes.len()).filter(|p| *p != node) {
             if self.now >= self.peers_cut && self.nodes[peer].core.is_some() {
@@ -1163,6 +1283,7 @@
             Fault::PeersCut { for_ms } => self.peers_cut = now + for_ms,
             Fault::StandsStill { node, for_ms } => self.nodes[node].still_until = now + for_ms,
             Fault::SlowBoots { times, never_each, for_ms } => self.slow_boots = (now + for_ms, times, never_each),
+            Fault::EndsAt { node, moment, back_after, late } => self.traps.push((node, moment, back_after, late)),
             Fault::MachineFaulty { pick } => {
                 let alive: Vec<usize> = (0..self.workers.len()).filter(|w| self.workers[*w].alive).collect();
                 if !alive.is_empty() {
@@ -1183,6 +1304,30 @@
         self.at(at, Due::Poll(job.clone()));
     }
 
+    /// How jobs that came by `by` were served, by class and by team. Those that
+    /// were cancelled or cannot succeed count nowhere.
+    pub fn served(&self, by: u64) -> BTreeMap<String, Served> {
+        let mut served: BTreeMap<String, Served> = BTreeMap::new();
+        for (id, job) in &self.jobs {
+            if job.came > by || job.cancel_told.is_some() || self.mistaken.contains(id) {
+                continue;
+            }
+            for name in [format!("class {}", job.spec.class), format!("team {}", job.spec.team)] {
+                let sum = served.entry(name).or_default();
+                sum.came += 1;
+                sum.started += usize::from(self.tries.contains_key(id));
+                sum.done += usize::from(job.finished.len() == job.spec.tasks as usize);
+            }
+        }
+        served
+    }
+
+    /// Classes and teams of which less than half was served, of what came by `by`.
+    pub fn starved(&self, by: u64) -> Vec<String> {
+        let few = |(name, served): (String, Served)| (!served.enough()).then(|| format!("{name}: {served:?}"));
+        self.served(by).into_iter().filter_map(few).collect()
+    }
+
     /// Jobs whose users were told that they are accepted.
     pub fn accepted(&self) -> usize {
         self.jobs.values().filter(|j| j.accepted).count()
