A job goes back to the only machine it failed on; starts teach and log nothing twice

Cause: a job was never placed again on a machine it failed on, which yet counted as room; each life logged the ends of all jobs it read, with their age now, and each deal of a job counted it again as a usual job.

--- a/crates/rollout/src/host.rs
+++ b/crates/rollout/src/host.rs
@@ -4,10 +4,11 @@
 use crate::check;
 use crate::desk::{Ask, Desk, Reply, Turn};
 use crate::driver::{Driver, Note, Output};
+use crate::events::Event;
 use crate::listen;
 use crate::metrics::Metrics;
 use crate::ports::{Answer, Call, Probe, Verdict};
-use crate::settings::Settings;
+use crate::settings::{Settings, CALLERS};
 use crate::units::{CallId, CheckId, Millis, RequestId};
 use serde_json::json;
 use std::collections::HashMap;
@@ -21,13 +22,6 @@
     fn call(&self, call: &Call) -> Answer;
 }
 
-/// Threads for calls that are neither watches nor renewals.
-const CALLERS: usize = 4;
-
-/// Threads beside those for checks and connections: the owner's, the
-/// listener's, the watch's, the lease's and the callers'.
-pub const OWN_THREADS: usize = 4 + CALLERS;
-
 /// Messages waiting for the thread that owns the state machines.
 const QUEUE: usize = 512;
 
@@ -43,14 +37,6 @@
     Desk,
 }
 
-/// What reaches the thread that owns the state machines.
-pub(crate) enum Event {
-    Answer(Box<(CallId, Answer)>),
-    DeskAnswer(Box<(CallId, Answer)>),
-    Verdict(CheckId, Verdict),
-    Ask(Ask, SyncSender<Reply>),
-}
-
 type Job = (Caller, CallId, Call);
 
 /// Starts to take part in roll-outs; `value_bytes` bounds a service's record.
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod decide;
 pub mod desk;
 pub mod driver;
+mod events;
 pub mod file;
 pub mod health;
 pub mod host;
--- a/crates/rollout/src/listen.rs
+++ b/crates/rollout/src/listen.rs
@@ -2,8 +2,8 @@
 //! the settings allow.
 
 use crate::desk::{Ask, Reply};
+use crate::events::Event;
 use crate::file::{schema, valid_name, Problems, RollOut};
-use crate::host::Event;
 use crate::metrics::Metrics;
 use crate::record::Command;
 use crate::settings::Settings;
--- a/crates/rollout/src/settings.rs
+++ b/crates/rollout/src/settings.rs
@@ -6,6 +6,13 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// Threads for calls that are neither watches nor renewals.
+pub const CALLERS: usize = 4;
+
+/// Threads beside those for checks and connections: the owner's, the
+/// listener's, the watch's, the lease's and the callers'.
+pub const OWN_THREADS: usize = 4 + CALLERS;
+
 /// Why the settings can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -81,7 +88,7 @@
 
     /// Threads that roll-outs take in all.
     pub fn threads(&self) -> usize {
-        self.checks + self.connections + crate::host::OWN_THREADS
+        self.checks + self.connections + OWN_THREADS
     }
 
     /// What the driver of this node goes by.
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -272,6 +272,17 @@
     }
 }
 
+/// What a job's newer record says that was not known before. What a node reads
+/// when it starts is no news: the job ended whenever it did, not now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    /// The job was not known.
+    First,
+    /// It has ended since its record was last seen.
+    Ended,
+    Other,
+}
+
 /// What changed, for whoever has to act on it.
 #[derive(Debug, PartialEq)]
 pub enum Changed {
@@ -280,7 +291,7 @@
     Owner(PartId),
     Node,
     Keep(PartId),
-    Job(JobRef),
+    Job(JobRef, News),
     Slice(JobRef, usize),
     Fleet,
     Other,
@@ -350,7 +361,9 @@
                 changed(self.allowances.entry(part).or_default().take(at, record), Changed::Other)
             }
             Key::Job(job) => match read(key, value)? {
-                Some(record) => changed(self.take_job(&job, record, at), Changed::Job(job)),
+                Some(record) => {
+                    self.take_job(&job, record, at).map_or(Changed::Nothing, |news| Changed::Job(job, news))
+                }
                 None => {
                     self.drop_job(&job, at);
                     Changed::Nothing
@@ -373,7 +386,8 @@
         })
     }
 
-    fn take_job(&mut self, id: &JobRef, record: JobRecord, at: Revision) -> bool {
+    /// What is new in a job's record; none if it is old.
+    fn take_job(&mut self, id: &JobRef, record: JobRecord, at: Revision) -> Option<News> {
         let names = &mut self.names;
         let job = self.jobs.entry(id.clone()).or_insert_with(|| Job {
             version: Revision(0),
@@ -385,8 +399,13 @@
             record: record.clone(),
         });
         if at <= job.version {
-            return false;
+            return None;
         }
+        let news = match (job.version, job.record.end, record.end) {
+            (Revision(0), ..) => News::First,
+            (_, None, Some(_)) => News::Ended,
+            _ => News::Other,
+        };
         job.version = at;
         let count = record.plan.as_ref().map_or(0, |p| p.parts.len());
         job.record = record;
@@ -401,7 +420,7 @@
         }
         job.sums = job.slices.iter().fold(Sums::default(), |all, s| all.replaced(Sums::default(), s.sums));
         self.settle(id);
-        true
+        Some(news)
     }
 
     /// A job's record is gone: it was put away with those that ended long ago.
--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -213,7 +213,7 @@
     pub(super) fn changed(&mut self, what: Changed) {
         match what {
             Changed::Owner(part) => self.owner_changed(part),
-            Changed::Job(job) => self.job_changed(&job),
+            Changed::Job(job, news) => self.job_changed(&job, news),
             Changed::Slice(job, slice) => self.slice_changed(&job, slice),
             Changed::Keep(part) => self.keep_changed(part),
             Changed::Fleet => self.fleet_changed(),
--- a/src/coordination/failures.rs
+++ b/src/coordination/failures.rs
@@ -104,8 +104,8 @@
         let Some(machine) = self.mine.get(&part).and_then(|m| m.machines.get(name)).filter(|m| !m.faulty) else {
             return;
         };
-        let sound = machine.failed_jobs.iter().filter(|j| self.sound(j)).count();
-        let unknown = machine.failed_jobs.iter().filter(|j| !self.sound(j) && !self.suspect(j)).count();
+        let sound = machine.failed_jobs.keys().filter(|j| self.sound(j)).count();
+        let unknown = machine.failed_jobs.keys().filter(|j| !self.sound(j) && !self.suspect(j)).count();
         let faulty = sound >= FAULTY_AFTER;
         let rests = sound + unknown >= FAULTY_AFTER;
         let until = self.now + REST;
@@ -128,7 +128,7 @@
             .iter()
             .flat_map(|(part, mine)| mine.machines.iter().map(move |(name, m)| (*part, name, m)))
             .filter(|(_, _, m)| !m.faulty && m.failed_jobs.len() >= FAULTY_AFTER)
-            .filter(|(_, _, m)| m.failed_jobs.iter().filter(|j| self.sound(j)).count() >= FAULTY_AFTER)
+            .filter(|(_, _, m)| m.failed_jobs.keys().filter(|j| self.sound(j)).count() >= FAULTY_AFTER)
             .map(|(part, name, _)| (part, name.clone()))
             .collect();
         for (part, name) in doubtful {
@@ -139,7 +139,7 @@
         self.learned.failures.forget(self.now, ended);
         for machine in self.mine.values_mut().flat_map(|m| m.machines.values_mut()) {
             let cancelled = |job: &JobRef| view.final_state(job) == Some(crate::bookkeeping::records::End::Cancelled);
-            machine.failed_jobs.retain(|job| !cancelled(job));
+            machine.failed_jobs.retain(|job, _| !cancelled(job));
         }
     }
 }
--- a/src/coordination/mine.rs
+++ b/src/coordination/mine.rs
@@ -35,8 +35,8 @@
     pub sent: BTreeMap<TaskKey, (Session, Seq)>,
     /// Images the machine has or fetches, newest last, with their sizes.
     pub images: Vec<(Label, f64)>,
-    /// Jobs whose tasks failed here since one last succeeded.
-    pub failed_jobs: BTreeSet<JobRef>,
+    /// Jobs whose tasks failed here since one last succeeded, and when last.
+    pub failed_jobs: BTreeMap<JobRef, Time>,
     pub faulty: bool,
     /// Takes nothing new until then: it failed several jobs of which it is not
     /// known yet whether they run elsewhere.
--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -4,7 +4,7 @@
 use super::mine::{Mine, TaskKey};
 use super::*;
 use crate::bookkeeping::records::{job_key, End, JobRecord, SliceRecord, TaskRecord};
-use crate::bookkeeping::view::{Job, Slice};
+use crate::bookkeeping::view::{Job, News, Slice};
 
 impl Core {
     /// Parts whose ownership the view has caught up with are taken to work.
@@ -90,7 +90,7 @@
         }
     }
 
-    pub(super) fn job_changed(&mut self, id: &JobRef) {
+    pub(super) fn job_changed(&mut self, id: &JobRef, news: News) {
         if let Some(job) = self.view.jobs.get(id).filter(|j| j.record.end.is_none()) {
             self.deal_soon |= job.record.plan.is_none();
             let spec = &job.record.spec;
@@ -101,12 +101,13 @@
                 spec.estimate_s,
                 job.record.plan
             );
-            if self.wants_quick_start(&job.class) {
+            // Once a job: its record changes with each deal.
+            if news == News::First && self.wants_quick_start(&job.class) {
                 let (class, cpus) = (spec.class.clone(), spec.cpus * f64::from(spec.tasks));
                 self.learned.saw_job(&class, cpus);
             }
         }
-        if let Some(job) = self.view.jobs.get(id).filter(|j| j.record.end.is_some()) {
+        if let Some(job) = self.view.jobs.get(id).filter(|_| news == News::Ended) {
             let (age, allowed) = (self.age_s(job), self.allowed_s(job));
             tracing::info!("job {id} of {} ended at {age:.0} s of {allowed:.0} s", job.record.spec.class);
         }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -41,6 +41,12 @@
 const MOST_WAITERS: usize = 32;
 const MOST_PROMISED: f64 = 0.25;
 
+/// How long a job goes elsewhere after it failed on a machine, if there is
+/// anywhere; and how long it does not go there in any case. The machine counts
+/// as room meanwhile, for which none is rented: the job must not wait for ever.
+const AVOID_FAILED: Span = Span(60_000);
+const REST_FAILED: Span = Span(10_000);
+
 /// Kinds of work remembered as finding no room; others are looked for again.
 const MOST_CLOSED: usize = 64;
 
@@ -175,11 +181,22 @@
             let before = (places.len(), gang.then(|| (seats.clone(), used.clone(), promised)));
             let mut spread = self.spread(part, id, job);
             let suspect = self.suspect(id);
-            let failed = |seat: &Seat| !suspect && seat.machine.failed_jobs.contains(id);
-            let candidates =
-                |seats: &mut [Seat], spread: &Spread| self.candidates(seats, &claim, spread, |s| !failed(s));
-            let mut heap = candidates(&mut seats, &spread);
+            let failed = |seat: &Seat, within: Span| {
+                let at = seat.machine.failed_jobs.get(id);
+                !suspect && at.is_some_and(|at| self.now.since(*at) < within)
+            };
+            let mut avoid = AVOID_FAILED;
+            let candidates = |seats: &mut [Seat], spread: &Spread, avoid: Span| {
+                self.candidates(seats, &claim, spread, |seat| !failed(seat, avoid))
+            };
+            let mut heap = candidates(&mut seats, &spread, avoid);
             scored += seats.len();
+            if may_wait && heap.is_empty() && seats.iter().any(|seat| failed(seat, avoid)) {
+                // Nowhere else to go, ever: where it failed it may go again.
+                avoid = REST_FAILED;
+                heap = candidates(&mut seats, &spread, avoid);
+                scored += seats.len();
+            }
             let mut full = false;
             let mut waits = 0;
             let mut lacking = Short { job: id.clone(), tasks: 0, wait_s: f64::INFINITY };
@@ -236,7 +253,7 @@
                     }
                     if job.record.spec.whole() {
                         *spread.by_zone.entry(seat.machine.zone.clone()).or_default() += 1;
-                        heap = candidates(&mut seats, &spread);
+                        heap = candidates(&mut seats, &spread, avoid);
                         scored += seats.len();
                     }
                     // One task at a time shows whether it still fails.
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -49,7 +49,7 @@
             listed: BTreeMap::new(),
             sent: BTreeMap::new(),
             images: vec![],
-            failed_jobs: BTreeSet::new(),
+            failed_jobs: BTreeMap::new(),
             faulty: false,
             rests_until: Time(0),
         });
@@ -200,7 +200,7 @@
         match why {
             Why::Done => m.failed_jobs.clear(),
             Why::Error => {
-                m.failed_jobs.insert(key.0.clone());
+                m.failed_jobs.insert(key.0.clone(), self.now);
                 tracing::info!("task {}/{} failed on {machine}", key.0, key.1);
                 self.note_error(&key, task.attempt);
                 self.learned.failures.failed(&key.0, machine, self.now);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,7 +4,7 @@
 mod standin;
 
 use proptest::prelude::*;
-use standin::{Fault, World};
+use standin::{Fault, Shape, World};
 use tillercleat::protocol::users::JobSpec;
 use tillercleat::units::JobRef;
 
@@ -205,6 +205,24 @@
     assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
 }
 
+/// A job waited for ever while the only machine that it might go to was one
+/// that it had failed on, which counted as room, so that none was rented.
+#[test]
+fn a_job_goes_back_to_the_only_machine_there_is() {
+    let mut world = World::sized(10, Shape { machines: 1, ..Shape::small() });
+    let id = JobRef::new("wk-000001");
+    world.submit(3000, job(1, 2, 1.0, 10.0, "plain"));
+    world.mistaken.insert(id.clone());
+    world.run(60_000);
+    let tries = world.tries.get(&id).copied().unwrap_or(0);
+    assert!((2..=16).contains(&tries), "{tries} tries in less than a minute");
+    // What was wrong is put right, on the machine or beyond it.
+    world.mistaken.clear();
+    world.run(140_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    assert!(world.open_jobs().is_empty(), "left: {:?}", world.open_jobs());
+}
+
 /// Each poll cost a read of its job, which kept submissions from being taken;
 /// each tiny job cost four writes at once.
 #[test]
