A quick restart waits for its address; the core's queue follows the connections

Cause: a life that found its earlier one's address still taken ended at once; after a standstill each connection has a request, of which there may be more than the 1,024 that the queue took. Tests: an address freed after 150 ms (crates/http, fails at once without it), the real binary killed and started again twelve times with connections left open.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,7 +2,7 @@
 //! and a bound on every size.
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +10,28 @@
 const HEAD_LIMIT: usize = 16 * 1024;
 const MOST_HEADERS: usize = 48;
 
+/// How long an address that is still taken is waited for.
+const TAKEN_FOR: Duration = Duration::from_secs(5);
+
+/// Listens on an address. A process that is started again within a fraction of a
+/// second may find it taken by its earlier life, which the system is still
+/// clearing away: to end for that would be to end over and over.
+///
+/// # Errors
+///
+/// If the address can't be had, or not within some seconds.
+pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let until = Instant::now() + TAKEN_FOR;
+    loop {
+        match TcpListener::bind(addr) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            result => return result,
+        }
+    }
+}
+
 /// A message's head as far as it matters here.
 #[derive(Debug, PartialEq)]
 pub struct Head {
@@ -302,6 +324,19 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+
+    /// A controller ended at once when its earlier life's socket was still there.
+    #[test]
+    fn an_address_that_is_still_taken_is_waited_for() {
+        let earlier = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = earlier.local_addr().unwrap();
+        let freed = std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(150));
+            drop(earlier);
+        });
+        assert_eq!(listen(addr).unwrap().local_addr().unwrap(), addr);
+        freed.join().unwrap();
+    }
     use proptest::prelude::*;
 
     #[test]
--- a/crates/rollout/src/listen.rs
+++ b/crates/rollout/src/listen.rs
@@ -8,7 +8,7 @@
 use crate::record::Command;
 use crate::settings::Settings;
 use serde_json::json;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::Arc;
@@ -133,7 +133,7 @@
 ///
 /// If the address can't be had.
 pub(crate) fn start(settings: &Settings, events: &SyncSender<Event>, metrics: Arc<Metrics>) -> std::io::Result<()> {
-    let listener = TcpListener::bind(settings.listen)?;
+    let listener = tillercleat_http::listen(settings.listen)?;
     let (most, events) = (settings.connections, events.clone());
     let open = Arc::new(AtomicUsize::new(0));
     let accept = move || {
--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -8,14 +8,14 @@
 use crate::settings::{Settings, Tuning};
 use crate::units::{RequestId, Time};
 use std::collections::{HashMap, VecDeque};
-use std::net::TcpListener;
 use std::sync::mpsc::{sync_channel, RecvTimeoutError, SyncSender};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tillercleat_admission::{Limits, Own, Plan, PlanError};
 use tillercleat_rollout::settings::Settings as Rollouts;
 
-/// Events waiting for the core; a connection that finds this full is refused.
+/// Events that may wait for the core at the least; a connection that finds the
+/// queue full is refused. After a standstill each connection has one.
 const QUEUE: usize = 1024;
 
 /// Ticks come far more often; a longer turn means that the process stood still.
@@ -55,12 +55,12 @@
 /// If an address can't be had, a thread can't be started, or the limits leave
 /// too little.
 pub fn run(settings: Settings, tuning: Tuning, rollouts: Option<Rollouts>) -> std::io::Result<()> {
-    let (engine, events) = sync_channel(QUEUE);
-    let listener = TcpListener::bind(settings.client_listen)?;
+    let plan = plan(&settings, &tuning, rollouts.as_ref()).map_err(std::io::Error::other)?;
+    let (engine, events) = sync_channel(QUEUE.max(plan.connections));
+    let listener = super::http::listen(settings.client_listen)?;
     let outside = Outside::new(&engine, settings.services.state, settings.services.cloud)?;
     let peer_addrs = settings.peers.iter().map(|p| p.addr).collect();
     let (notes, asker) = peers::start(settings.peer_listen, peer_addrs, engine.clone(), rollouts.is_some())?;
-    let plan = plan(&settings, &tuning, rollouts.as_ref()).map_err(std::io::Error::other)?;
     if let Some(rollouts) = rollouts {
         let site = Arc::new(Controller::new(engine.clone(), asker, settings.services.state));
         let value_bytes = (settings.cluster.state.value_kb * 1024.0) as usize;
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -125,6 +125,57 @@
     let _ = std::fs::remove_file(&path);
 }
 
+/// Killed and started again at once, over and over within a worker's lease: the
+/// address is had again, connections of users and workers that outlive the
+/// process harm nothing, no life ends by itself, and no job is lost.
+#[test]
+fn the_binary_is_killed_and_started_again_at_once() {
+    let client_addr = free_port();
+    let path = std::env::temp_dir().join(format!("tillercleat-again-{}.json", std::process::id()));
+    std::fs::write(&path, settings(client_addr, 200).to_string()).expect("a settings file");
+    let mut process = start(&path, &[]);
+    wait_for("becoming healthy", || call(client_addr, "GET", "/up", "").is_some_and(|(s, _)| s == 200));
+    let job = |id: &str| {
+        json!({"ref": id, "haul": "h", "crew": "red", "rig": "array", "rank": "normal", "loads": 12, "cores": 1.0,
+            "gpus": 0.0, "mem_gb": 1.0, "kit": "k", "image_gb": 0.1, "hulls": null, "berth": null, "one_zone": false,
+            "apart": false, "driftwood": true, "reckon_s": 1.0, "mark_s": 0.0, "stow_s": 0.0, "tide_s": null})
+        .to_string()
+    };
+    let mut left_open = vec![];
+    for life in 0..8 {
+        // Half a request, and a connection that never asks: both outlive the process.
+        for text in ["GET /up HTTP/1.1\r\n", ""] {
+            if let Ok(mut stream) = std::net::TcpStream::connect(client_addr) {
+                std::io::Write::write_all(&mut stream, text.as_bytes()).expect("a few bytes");
+                left_open.push(stream);
+            }
+        }
+        // Every other life ends in the midst of its start.
+        let id = format!("wk-{:06}", life + 1);
+        wait_for("accepting", || {
+            let answer = call(client_addr, "POST", "/v2/runs", &job(&id));
+            answer.is_some_and(|(status, _)| matches!(status, 200 | 201))
+        });
+        assert!(process.0.try_wait().expect("a child").is_none(), "life {life} ended by itself");
+        drop(process);
+        process = start(&path, &[]);
+        if life % 2 == 0 {
+            std::thread::sleep(Duration::from_millis(50));
+            drop(process);
+            process = start(&path, &[]);
+        }
+    }
+    for life in 0..8 {
+        wait_for("every job", || {
+            let answer = call(client_addr, "GET", &format!("/v2/runs/wk-{:06}", life + 1), "");
+            answer.is_some_and(|(status, body)| status == 200 && body["trim"] == "done")
+        });
+    }
+    assert!(process.0.try_wait().expect("a child").is_none(), "the last life ended by itself");
+    drop((process, left_open));
+    let _ = std::fs::remove_file(&path);
+}
+
 /// Threads of a process, as the system counts them.
 #[cfg(target_os = "linux")]
 fn threads(process: &Process) -> usize {
