Answers that wait are made only for machines with a start they do not list

Cause: each committed write touched all machines that its slices name; under overload a sixth of a controller's time went into answers made in vain (commands 16% of a profile). Change: only machines that do not list the task are touched. Decisions as before.

--- a/src/coordination/writing.rs
+++ b/src/coordination/writing.rs
@@ -1,6 +1,7 @@
 //! Making a part's changes durable: one transaction at a time, what presses
 //! first, and nothing that somebody else has changed meanwhile.
 
+use super::mine::Machine;
 use super::*;
 use crate::bookkeeping::records::{job_key, owner_key, slice_key, End, JobRecord, SliceRecord, TaskRecord};
 use crate::bookkeeping::view::{Job, Slice};
@@ -183,13 +184,21 @@
         }
     }
 
-    /// Machines that a committed transaction put tasks on may be told so now.
-    fn touch_machines(&mut self, txn: &Txn) {
+    /// Machines that a committed transaction put tasks on may be told so now:
+    /// those that do not list them yet. A slice names all machines that its
+    /// tasks are on, and each answer made in vain costs as much as a report.
+    fn touch_machines(&mut self, part: PartId, txn: &Txn) {
+        let Some(mine) = self.mine.get(&part) else { return };
         for change in &txn.changes {
             let Some(records::Key::Slice(id, index)) = records::Key::read(change_key(change)) else { continue };
-            let slice = self.view.jobs.get(&id).and_then(|job| job.slices().get(index)?.record());
-            for task in slice.into_iter().flat_map(|record| &record.tasks) {
-                if let TaskRecord::On(_, machine) = task {
+            let Some(job) = self.view.jobs.get(&id) else { continue };
+            let Some(first) = job.record.plan.as_ref().map(|plan| plan.first_task(index)) else { continue };
+            let slice = job.slices().get(index).and_then(Slice::record);
+            for (at, task) in slice.into_iter().flat_map(|record| record.tasks.iter().enumerate()) {
+                let TaskRecord::On(attempt, machine) = task else { continue };
+                let key = (id.clone(), first + at as u32);
+                let listed = |m: &Machine| m.listed.get(&key).is_some_and(|known| known.0 == *attempt);
+                if !mine.machines.get(machine).is_some_and(listed) {
                     self.answers.touch(machine);
                 }
             }
@@ -215,7 +224,7 @@
         match answer {
             StateAnswer::Committed(revision) => {
                 self.committed(&txn, revision);
-                self.touch_machines(&txn);
+                self.touch_machines(part, &txn);
                 // Tell others only of what they may have to act on: ends of jobs.
                 if txn.changes.iter().any(|c| change_key(c).starts_with("t/j/")) {
                     self.nudge(revision);
