--- a/tests/starting.rs
+++ b/tests/starting.rs
@@ -14,7 +14,7 @@
 use tillercleat::protocol::users::JobSpec;
 use tillercleat::protocol::workers::{Command, Report, TaskName, TaskReport, TaskState};
 use tillercleat::settings::Tuning;
-use tillercleat::units::{Attempt, CallId, JobRef, MachineId, PartId, RequestId, Seq, Session, Time, Token};
+use tillercleat::units::{Attempt, CallId, JobRef, MachineId, PartId, RequestId, Revision, Seq, Session, Time, Token};
 
 const MACHINE: &str = "i-000001";
 
@@ -379,3 +379,31 @@
         prop_assert!(site.token >= token && site.token > Token(0), "nobody owns the worker");
     }
 }
+
+/// Each life logged and counted the ends of all jobs that it read of, and each
+/// deal of a job counted it once more as a usual one.
+#[test]
+fn what_a_start_reads_is_no_news() {
+    use tillercleat::bookkeeping::view::{Changed, News, View};
+    let record = |end: Option<&str>, parts: Option<[u32; 1]>| {
+        let mut record = serde_json::json!({"spec": job(1), "at": 1000});
+        if let Some(end) = end {
+            record["end"] = end.into();
+        }
+        if let Some(parts) = parts {
+            record["plan"] = serde_json::json!({"size": 16, "parts": parts});
+        }
+        Some(record)
+    };
+    let id = JobRef::new("wk-000001");
+    let key = job_key(&id);
+    let mut view = View::default();
+    let mut news = |value, at| view.apply(&key, value, Revision(at));
+    assert_eq!(news(record(None, None), 3), Changed::Job(id.clone(), News::First));
+    assert_eq!(news(record(None, Some([1])), 4), Changed::Job(id.clone(), News::Other));
+    assert_eq!(news(record(None, None), 3), Changed::Nothing);
+    assert_eq!(news(record(Some("done"), Some([1])), 5), Changed::Job(id.clone(), News::Ended));
+    assert_eq!(news(record(Some("done"), Some([1])), 6), Changed::Job(id.clone(), News::Other));
+    let mut later = View::default();
+    assert_eq!(later.apply(&key, record(Some("done"), Some([1])), Revision(6)), Changed::Job(id, News::First));
+}
