--- a/src/bookkeeping/names.rs
+++ b/src/bookkeeping/names.rs
@@ -14,10 +14,6 @@
 pub struct Label(Arc<str>);
 
 impl Label {
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-
     fn address(&self) -> usize {
         self.0.as_ptr() as usize
     }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -22,7 +22,7 @@
 /// Seats that a round may score however small the share of a core.
 const LEAST_SCORES: usize = 8000;
 
-/// Processor time that scoring a seat takes, in seconds (`cargo bench --bench cost`).
+/// Processor time that scoring a seat is reckoned with, in seconds; not measured by itself.
 const SCORE_S: f64 = 2e-7;
 
 /// The largest share of its processor time that a node spends on scores which
--- a/src/units.rs
+++ b/src/units.rs
@@ -25,7 +25,7 @@
 /// A text that is compared, ordered and hashed by a number as far as it is short:
 /// reports and rounds look names up by the million, and a text elsewhere in
 /// memory costs far more to reach than to compare. The order is that of texts.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 struct Text {
     text: Arc<str>,
     /// The first bytes, the first one highest, and in the lowest place the
@@ -51,6 +51,12 @@
     }
 }
 
+impl fmt::Debug for Text {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.text.fmt(f)
+    }
+}
+
 impl PartialEq for Text {
     fn eq(&self, other: &Self) -> bool {
         self.key == other.key && (self.is_short() || self.text == other.text)
