Jobs that name others wait for them; what is new is on once all controllers know of it

A submission may name jobs that must be done first. A waiting job's record has a plan without slices, which controllers of the version in production read as nothing to deal or start; it is given a plan like any other's once all it names are durably done. Cancellations are answered from the records of those before. Node records tell what a controller can do, t/v what is on for good. Limits announced for later hold from the start.

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -4,4 +4,5 @@
 pub mod lifetimes;
 pub mod names;
 pub mod records;
+pub mod urge;
 pub mod view;
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -1,6 +1,6 @@
 //! The durable records, as they stand in the state service.
 
-use crate::protocol::users::JobSpec;
+use crate::protocol::users::{job_ref_of, job_ref_rest, JobSpec};
 use crate::units::{Attempt, JobRef, LeaseId, MachineId, NodeName, PartId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -10,6 +10,7 @@
 pub const LEADER_KEY: &str = "t/l";
 pub const CATALOG_KEY: &str = "t/k";
 pub const FLEET_KEY: &str = "t/f";
+pub const LEVEL_KEY: &str = "t/v";
 
 pub fn node_key(node: &NodeName) -> String {
     format!("t/n/{node}")
@@ -42,6 +43,7 @@
     Leader,
     Catalog,
     Fleet,
+    Level,
     Node(NodeName),
     Owner(PartId),
     Allowance(PartId),
@@ -56,6 +58,7 @@
             LEADER_KEY => return Some(Key::Leader),
             CATALOG_KEY => return Some(Key::Catalog),
             FLEET_KEY => return Some(Key::Fleet),
+            LEVEL_KEY => return Some(Key::Level),
             _ => {}
         }
         let (family, rest) = key.strip_prefix(ROOT)?.split_once('/')?;
@@ -81,6 +84,21 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct NodeRecord {
     pub lease: LeaseId,
+    /// What the controller can do; older ones say nothing.
+    #[serde(default)]
+    pub level: Level,
+}
+
+/// What controllers can do, each level all that is below it as well. 1: jobs
+/// that name others which have to be done first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Level(pub u32);
+
+/// What is turned on, for good.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LevelRecord {
+    pub level: Level,
 }
 
 /// Who owns a part, or leads.
@@ -130,6 +148,56 @@
     pub plan: Option<Plan>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub end: Option<End>,
+    /// Jobs that have to be done before this one may start. Controllers that
+    /// do not know of them drop them when they write a job's end, after which
+    /// nobody asks; until then the plan without slices keeps it from starting.
+    #[serde(default, skip_serializing_if = "Awaits::is_empty")]
+    pub awaits: Awaits,
+    /// Time of day in milliseconds when the last job that it waited for was
+    /// seen to be done; orders work, nothing else.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ready: Option<u64>,
+}
+
+impl JobRecord {
+    /// A job accepted at this time of day, not dealt to any part.
+    pub fn new(spec: JobSpec, at: u64) -> JobRecord {
+        JobRecord { spec, at, plan: None, end: None, awaits: Awaits::default(), ready: None }
+    }
+
+    /// True while the job waits for others: its plan has no slices.
+    pub fn waits(&self) -> bool {
+        self.end.is_none() && self.plan.as_ref().is_some_and(Plan::is_empty)
+    }
+
+    /// Since when the job may start, time of day in milliseconds.
+    pub fn since(&self) -> u64 {
+        self.ready.unwrap_or(self.at)
+    }
+}
+
+/// Names of jobs, as one text: a job may name a hundred others, and its record
+/// is one value.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct Awaits(pub Vec<JobRef>);
+
+impl Awaits {
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl From<String> for Awaits {
+    fn from(text: String) -> Self {
+        Awaits(text.split_whitespace().map(job_ref_of).collect())
+    }
+}
+
+impl From<Awaits> for String {
+    fn from(awaits: Awaits) -> Self {
+        awaits.0.iter().map(job_ref_rest).collect::<Vec<_>>().join(" ")
+    }
 }
 
 /// A job that ended long ago.
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -3,9 +3,12 @@
 
 use super::names::{Label, Names};
 use super::records::{
-    AllowanceRecord, End, FleetRecord, HolderRecord, JobRecord, Key, NodeRecord, PastRecord, SliceRecord, TaskRecord,
+    AllowanceRecord, End, FleetRecord, HolderRecord, JobRecord, Key, LevelRecord, NodeRecord, PastRecord, SliceRecord,
+    TaskRecord,
 };
+use super::urge::Urge;
 use crate::protocol::cloud::Catalog;
+use crate::protocol::users::Priority;
 use crate::units::{Attempt, JobRef, NodeName, PartId, Revision};
 use foldhash::fast::FixedState;
 use indexmap::IndexMap;
@@ -219,6 +222,8 @@
     pub class: Label,
     pub team: Label,
     pub image: Label,
+    /// What those that need the job make of its urgency.
+    pub urge: Option<Urge>,
 }
 
 impl Job {
@@ -267,6 +272,12 @@
         self.record.end != Some(End::Done)
     }
 
+    /// The job's priority, or that of any that needs it.
+    pub fn priority(&self) -> Priority {
+        let own = self.record.spec.priority;
+        self.urge.map_or(own, |urge| urge.priority.max(own))
+    }
+
     pub fn part_of(&self, slice: usize) -> Option<PartId> {
         self.record.plan.as_ref()?.parts.get(slice).copied()
     }
@@ -289,9 +300,11 @@
     Nothing,
     Leader,
     Owner(PartId),
-    Node,
+    Node(NodeName),
     Keep(PartId),
     Job(JobRef, News),
+    /// The job's record is gone: it was put away.
+    JobGone(JobRef),
     Slice(JobRef, usize),
     Fleet,
     Other,
@@ -305,6 +318,7 @@
     pub leader: Held<HolderRecord>,
     pub catalog: Held<Catalog>,
     pub fleet: Held<FleetRecord>,
+    pub level: Held<LevelRecord>,
     pub allowances: BTreeMap<PartId, Held<AllowanceRecord>>,
     /// Who answers workers of a part in its owner's name.
     pub keeps: BTreeMap<(PartId, NodeName), Held<NodeRecord>>,
@@ -344,9 +358,10 @@
             Key::Leader => changed(self.leader.take(at, read(key, value)?), Changed::Leader),
             Key::Catalog => changed(self.catalog.take(at, read(key, value)?), Changed::Other),
             Key::Fleet => changed(self.fleet.take(at, read(key, value)?), Changed::Fleet),
+            Key::Level => changed(self.level.take(at, read(key, value)?), Changed::Other),
             Key::Node(node) => {
                 let record = read(key, value)?;
-                changed(self.nodes.entry(node).or_default().take(at, record), Changed::Node)
+                changed(self.nodes.entry(node.clone()).or_default().take(at, record), Changed::Node(node))
             }
             Key::Owner(part) => {
                 let record = read(key, value)?;
@@ -365,8 +380,8 @@
                     self.take_job(&job, record, at).map_or(Changed::Nothing, |news| Changed::Job(job, news))
                 }
                 None => {
-                    self.drop_job(&job, at);
-                    Changed::Nothing
+                    let gone = self.drop_job(&job, at);
+                    changed(gone, Changed::JobGone(job))
                 }
             },
             Key::Slice(job, index) => {
@@ -397,6 +412,7 @@
             team: names.label(&record.spec.team),
             image: names.label(&record.spec.image),
             record: record.clone(),
+            urge: None,
         });
         if at <= job.version {
             return None;
@@ -424,9 +440,9 @@
     }
 
     /// A job's record is gone: it was put away with those that ended long ago.
-    fn drop_job(&mut self, id: &JobRef, at: Revision) {
+    fn drop_job(&mut self, id: &JobRef, at: Revision) -> bool {
         if self.jobs.get(id).is_none_or(|j| at <= j.version) {
-            return;
+            return false;
         }
         if let Some(job) = self.jobs.swap_remove(id) {
             self.active.remove(id);
@@ -434,6 +450,7 @@
                 self.remember_past(id, PastRecord { end, tasks: job.record.spec.tasks });
             }
         }
+        true
     }
 
     pub fn remember_past(&mut self, id: &JobRef, record: PastRecord) {
@@ -448,11 +465,11 @@
     }
 
     /// Keeps the list of active jobs: a job leaves it when nothing of it can
-    /// still be on a machine.
+    /// still be on a machine, and comes to it when it may start.
     fn settle(&mut self, id: &JobRef) {
         let Some(job) = self.jobs.get(id) else { return };
         let left = job.slices.iter().any(|s| s.record().is_some());
-        if job.record.end.is_none() || left {
+        if (job.record.end.is_none() && !job.record.waits()) || left {
             self.active.insert(id.clone());
         } else {
             self.active.remove(id);
--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -46,6 +46,10 @@
         job: JobRef,
         known: bool,
     },
+    /// Names of a submission, one after the other.
+    Names(following::Names),
+    /// A job that waiting ones name and that was put away.
+    LookUp(JobRef),
     CancelRead {
         request: RequestId,
         job: JobRef,
@@ -162,6 +166,8 @@
             Pending::SubmitWrite { request, txn, spec } => self.submit_written(request, txn, spec, answer),
             Pending::SubmitRead { request, job, fresh } => self.submit_read(request, job, fresh, answer),
             Pending::Past { request, job, known } => self.past_answer(request, job, known, answer),
+            Pending::Names(names) => self.name_read(names, answer),
+            Pending::LookUp(job) => self.looked_up(job, answer),
             Pending::Probe(questions) => self.probed(questions, answer),
             Pending::CancelRead { request, job, tries } => self.cancel_read(request, job, tries, answer),
             Pending::CancelWrite { request, job, txn, tries } => self.cancel_written(request, job, txn, tries, answer),
@@ -218,7 +224,9 @@
             Changed::Keep(part) => self.keep_changed(part),
             Changed::Fleet => self.fleet_changed(),
             Changed::Other => self.catalog_changed(),
-            Changed::Leader | Changed::Node | Changed::Nothing => {}
+            Changed::JobGone(job) => self.chains.lost(&job),
+            Changed::Node(node) => self.node_changed(&node),
+            Changed::Leader | Changed::Nothing => {}
         }
     }
 }
--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -146,7 +146,7 @@
         for (id, job) in &self.view.jobs {
             let (spec, age) = (&job.record.spec, self.age_s(job));
             // What failed wherever it ran, or was cancelled, keeps nothing busy.
-            if job.record.end == Some(End::Cancelled) || self.suspect(id) {
+            if job.record.end == Some(End::Cancelled) || job.record.waits() || self.suspect(id) {
                 continue;
             }
             if age < USUAL_S && spec.kind == JobKind::Array {
--- /dev/null
+++ b/src/coordination/following.rs
@@ -0,0 +1,313 @@
+//! Jobs that name others which have to be done first: taking them, letting
+//! them start, and ending those that follow a cancelled one.
+//!
+//! A waiting job's record has a plan without slices. So nothing of it is dealt
+//! or placed anywhere, by controllers that know nothing of chains either. It
+//! may start once each job that it names is durably done: one transaction,
+//! conditional on its record, gives it a plan like any other job's. That a
+//! waiting job follows a cancelled one is seen in the records of those before
+//! it and answered from that at once; its own end is written behind.
+
+use super::chains::Known;
+use super::*;
+use crate::bookkeeping::records::{job_key, past_key, Awaits, End, JobRecord, PastRecord, Plan};
+use crate::bookkeeping::urge::Urge;
+use crate::protocol::users::JobKind;
+
+/// Waiting jobs changed in one transaction at the most.
+const MOST_AT_ONCE: usize = 8;
+
+/// Pause between two look-ups of a job that must be somewhere and is not found.
+const LOOK_AGAIN: Span = Span(500);
+
+/// What a task takes beside its run time until it runs, for estimates of when
+/// the steps of a chain are due: its image, and a place to run.
+const STEP_OVERHEAD_S: f64 = 4.0;
+
+/// Tasks of a job end one after the other: the last of them takes longer than most.
+const LAST_TASK: f64 = 1.5;
+
+/// A submission whose names are being looked up.
+#[derive(Debug)]
+pub(super) struct Names {
+    pub request: RequestId,
+    pub spec: Box<JobSpec>,
+    /// Names looked at and not known to be done, and those still to be looked at.
+    checked: Vec<JobRef>,
+    to_check: Vec<JobRef>,
+    cancelled: bool,
+    /// Why the submission is refused, if it is: unless the job is known already.
+    refused: Option<String>,
+    /// The last name, or the job itself, is being looked up among those put away.
+    past: bool,
+}
+
+/// What is kept of look-ups.
+#[derive(Debug, Default)]
+pub(super) struct LookUps {
+    asking: bool,
+    last: Option<JobRef>,
+    next: Time,
+}
+
+impl Core {
+    /// The end of a job, if it has one: its own, or that of one before it.
+    pub(super) fn final_state(&self, id: &JobRef) -> Option<End> {
+        let own = self.view.final_state(id);
+        own.or_else(|| self.chains.is_cancelled(id).then_some(End::Cancelled))
+    }
+
+    fn known(view: &View, id: &JobRef) -> Known {
+        match (view.final_state(id), view.jobs.contains_key(id)) {
+            (Some(end), _) => Known::Ended(end),
+            (None, true) => Known::Open,
+            (None, false) => Known::Unknown,
+        }
+    }
+
+    /// Takes what a job's record says into the index of chains.
+    pub(super) fn follow(&mut self, id: &JobRef) {
+        let Some(job) = self.view.jobs.get(id) else { return };
+        let (record, spec) = (&job.record, &job.record.spec);
+        if let Some(end) = record.end {
+            self.chains.ended(id, end);
+            self.chains.gone(id);
+        } else if record.waits() {
+            let due = |after: f64| record.at + (after * 1000.0) as u64;
+            let own = Urge { priority: spec.priority, due_ms: spec.deadline_s.map(due) };
+            let takes_ms = ((self.learned.run_time(job) * LAST_TASK + STEP_OVERHEAD_S) * 1000.0) as u64;
+            let view = &self.view;
+            self.chains.seen(id);
+            self.chains.add(id, &record.awaits.0, own, takes_ms, |name| Core::known(view, name));
+        } else {
+            self.chains.seen(id);
+            self.chains.gone(id);
+        }
+        for name in self.chains.take_pressed().iter().chain([id]) {
+            if let Some(job) = self.view.jobs.get_mut(name) {
+                job.urge = self.chains.urge(name);
+            }
+        }
+        self.chains_soon |= self.chains.ready().next().is_some();
+    }
+
+    /// True if this node is to change a waiting job's record: the owner of the
+    /// part that its name hashes to, or else the first that knows of chains.
+    /// Two that think so do no harm: the record's version decides.
+    fn keeps_chain(&self, id: &JobRef) -> bool {
+        let able = |node: &&NodeName| self.view.nodes.get(*node).is_some_and(upgrade::knows_chains);
+        let owner = self.view.owner(PartId::of(id.as_str(), self.parts)).filter(able);
+        let first = || self.view.live().map(|(node, _)| node).filter(able).min();
+        owner.or_else(first) == Some(&self.me)
+    }
+
+    /// Lets what is ready start.
+    pub(super) fn release_ready(&mut self) {
+        self.chains_soon = false;
+        // As acceptance does, on credit as far as the share bears it.
+        let bears = self.writes.level(self.now) > -0.5 * self.writes.per_s();
+        if !bears || !self.state_fresh() || self.now < self.retry_state_at {
+            return;
+        }
+        let wall_ms = self.wall_ms;
+        let may_start = |core: &Core, record: &JobRecord| JobRecord {
+            plan: core.first_plan(&record.spec),
+            awaits: Awaits::default(),
+            ready: Some(wall_ms.max(record.at)),
+            ..record.clone()
+        };
+        let ready = self.ours_of(self.chains.ready());
+        self.rewrite_waiting(ready, may_start);
+    }
+
+    /// Writes the ends of jobs that follow cancelled ones, with writes that
+    /// nobody else has use for: users are answered without.
+    pub(super) fn write_ends(&mut self) {
+        let idle = self.writes.level(self.now) > 0.5 * self.writes.per_s();
+        if !idle || !self.state_fresh() || self.now < self.retry_state_at {
+            return;
+        }
+        let end = |_: &Core, record: &JobRecord| JobRecord {
+            end: Some(End::Cancelled),
+            awaits: Awaits::default(),
+            ..record.clone()
+        };
+        let cancelled = self.ours_of(self.chains.cancelled());
+        self.rewrite_waiting(cancelled, end);
+    }
+
+    /// Of these jobs, some that this node may change now.
+    fn ours_of<'a>(&self, jobs: impl Iterator<Item = &'a JobRef>) -> Vec<JobRef> {
+        let most = MOST_AT_ONCE.min(self.settings.cluster.state.txn_ops);
+        let mine = jobs.filter(|id| !self.busy_keys.contains(&job_key(id)) && self.keeps_chain(id));
+        mine.take(most).cloned().collect()
+    }
+
+    fn rewrite_waiting(&mut self, jobs: Vec<JobRef>, to: impl Fn(&Core, &JobRecord) -> JobRecord) {
+        let mut txn = Txn::default();
+        for id in jobs {
+            let Some(job) = self.view.jobs.get(&id).filter(|j| j.record.waits()) else { continue };
+            let Ok(value) = serde_json::to_value(to(self, &job.record)) else { continue };
+            txn.conditions.push(Condition { key: job_key(&id), version: job.version });
+            txn.changes.push(Change::put(job_key(&id), value));
+        }
+        if !txn.changes.is_empty() {
+            self.simple_txn(txn);
+        }
+    }
+
+    /// Looks up jobs that waiting ones name and that were put away.
+    pub(super) fn look_up_unknown(&mut self) {
+        if !self.loaded || self.look_ups.asking || self.now < self.look_ups.next || self.now < self.retry_state_at {
+            return;
+        }
+        let Some(id) = self.chains.unknown_after(self.look_ups.last.as_ref()).cloned() else { return };
+        self.look_ups = LookUps { asking: true, last: Some(id.clone()), next: self.now };
+        self.reads.force(self.now, 1.0);
+        self.call_state(StateCall::Get { key: past_key(&id) }, Pending::LookUp(id));
+    }
+
+    pub(super) fn looked_up(&mut self, id: JobRef, answer: StateAnswer) {
+        self.look_ups.asking = false;
+        let Some(record) = self.take_past(&id, answer) else {
+            self.look_ups.next = self.now + LOOK_AGAIN;
+            return;
+        };
+        self.chains.ended(&id, record.end);
+        self.chains_soon = true;
+    }
+
+    /// Takes the record of a job that was put away, if that is what came.
+    fn take_past(&mut self, id: &JobRef, answer: StateAnswer) -> Option<PastRecord> {
+        let StateAnswer::Found(item) = answer else { return None };
+        match serde_json::from_value::<PastRecord>(item.value) {
+            Ok(record) => {
+                self.view.remember_past(id, record);
+                Some(record)
+            }
+            Err(error) => {
+                tracing::error!("record {} makes no sense: {error}", item.key);
+                None
+            }
+        }
+    }
+
+    /// A submission that names others: they are looked at one by one.
+    pub(super) fn submit_after(&mut self, request: RequestId, spec: Box<JobSpec>) {
+        if !self.chains_on() {
+            let reason = "jobs that await others are taken once all controllers know of them";
+            return self.reply(request, Reply::Problem { status: 503, reason: reason.into(), retry_after_s: Some(2) });
+        }
+        let to_check = spec.awaits.clone();
+        let refused = to_check.contains(&spec.id).then(|| "a job cannot await itself".to_string());
+        let (checked, cancelled, past) = (vec![], false, false);
+        self.check_names(Names { request, spec, checked, to_check, cancelled, refused, past });
+    }
+
+    fn check_names(&mut self, mut names: Names) {
+        names.past = false;
+        while names.refused.is_none() {
+            let Some(name) = names.to_check.pop() else { break };
+            if let Some(job) = self.view.jobs.get(&name) {
+                if job.record.spec.kind == JobKind::Standing {
+                    names.refused = Some(format!("{name} is a service, which is never done"));
+                    break;
+                }
+            }
+            match Core::known(&self.view, &name) {
+                Known::Unknown => {
+                    names.to_check.push(name);
+                    return self.look_at_name(names);
+                }
+                Known::Ended(End::Done) => {}
+                Known::Ended(End::Cancelled) => names.cancelled = true,
+                Known::Open => names.checked.push(name),
+            }
+        }
+        if names.refused.is_some() {
+            // Known after all? Then the answer is its state, whatever it names.
+            return self.look_at_name(names);
+        }
+        let Names { request, spec, checked, cancelled, .. } = names;
+        let record = if cancelled || !checked.is_empty() {
+            JobRecord {
+                plan: Some(Plan { size: 1, parts: vec![] }),
+                end: cancelled.then_some(End::Cancelled),
+                awaits: Awaits(if cancelled { vec![] } else { checked }),
+                ..JobRecord::new((*spec).clone(), self.wall_ms)
+            }
+        } else {
+            JobRecord { plan: self.first_plan(&spec), ..JobRecord::new((*spec).clone(), self.wall_ms) }
+        };
+        self.write_submission(request, spec, record);
+    }
+
+    /// Reads the name that is next, or the job itself if it is to be refused.
+    fn look_at_name(&mut self, names: Names) {
+        if !self.afford(names.request, 1.0) {
+            return;
+        }
+        let id = names.asked();
+        let key = if names.past { past_key(id) } else { job_key(id) };
+        self.call_state(StateCall::Get { key }, Pending::Names(names));
+    }
+
+    pub(super) fn name_read(&mut self, mut names: Names, answer: StateAnswer) {
+        let id = names.asked().clone();
+        match answer {
+            StateAnswer::Missing(_) if !names.past => {
+                names.past = true;
+                self.look_at_name(names);
+            }
+            StateAnswer::Missing(_) => match names.refused {
+                Some(reason) => self.reply(names.request, Reply::problem(422, &reason)),
+                None => {
+                    names.refused = Some(format!("{id} was never accepted"));
+                    names.past = false;
+                    self.look_at_name(names);
+                }
+            },
+            StateAnswer::Found(_) if names.refused.is_some() => {
+                let record =
+                    if names.past { self.take_past(&id, answer).is_some() } else { self.take_job(answer).is_some() };
+                match record {
+                    true => self.answer_job(names.request, 200, &id, None),
+                    false => self.reply(names.request, Reply::later("the job cannot be read")),
+                }
+            }
+            StateAnswer::Found(_) if names.past => match self.take_past(&id, answer) {
+                Some(_) => self.check_names(names),
+                None => self.reply(names.request, Reply::later("a job it names cannot be read")),
+            },
+            StateAnswer::Found(_) => match self.take_job(answer) {
+                Some(_) => self.check_names(names),
+                None => self.reply(names.request, Reply::later("a job it names cannot be read")),
+            },
+            _ => self.reply(names.request, Reply::later("the state service does not answer")),
+        }
+    }
+
+    /// Refuses a submission for good, unless the job is known after all.
+    pub(super) fn refuse(&mut self, request: RequestId, spec: Box<JobSpec>, reason: String) {
+        let (checked, to_check) = (vec![], vec![]);
+        self.look_at_name(Names {
+            request,
+            spec,
+            checked,
+            to_check,
+            cancelled: false,
+            refused: Some(reason),
+            past: false,
+        });
+    }
+}
+
+impl Names {
+    /// What is being looked up.
+    fn asked(&self) -> &JobRef {
+        match (&self.refused, self.to_check.last()) {
+            (None, Some(name)) => name,
+            _ => &self.spec.id,
+        }
+    }
+}
--- a/src/coordination/keeping.rs
+++ b/src/coordination/keeping.rs
@@ -53,7 +53,7 @@
             let noted = held.record.as_ref().is_some_and(|r| r.lease == lease);
             let silent = owner != self.me && !self.heard_for(&owner, self.silence());
             if silent && !noted {
-                let Ok(value) = serde_json::to_value(NodeRecord { lease }) else { continue };
+                let Ok(value) = serde_json::to_value(NodeRecord { lease, level: upgrade::OURS }) else { continue };
                 tracing::info!("{owner} is not heard: keeping workers of part {part}");
                 let conditions = vec![Condition { key: owner_key(part), version }];
                 self.simple_txn(Txn { conditions, changes: vec![Change::put_leased(key, value, lease)] });
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -201,7 +201,7 @@
         if current || self.withdrawn() || self.busy_keys.contains(&key) {
             return;
         }
-        if let Ok(value) = serde_json::to_value(NodeRecord { lease }) {
+        if let Ok(value) = serde_json::to_value(NodeRecord { lease, level: upgrade::OURS }) {
             self.simple_txn(Txn { conditions: vec![], changes: vec![Change::put_leased(key, value, lease)] });
         }
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,9 +8,11 @@
 mod buying;
 mod calls;
 mod catalog;
+pub mod chains;
 mod demand;
 mod failures;
 mod fleet;
+mod following;
 mod keeping;
 mod leading;
 mod learned;
@@ -28,6 +30,7 @@
 pub mod scoring;
 mod seats;
 mod starting;
+mod upgrade;
 mod users;
 mod waiting;
 mod withdrawing;
@@ -230,6 +233,11 @@
     /// Teams with a guarantee: cores and GPUs.
     guarantees: Vec<(Label, f64, f64)>,
     queries: Queries,
+    chains: chains::Chains,
+    /// A waiting job may start: that must not wait for the next housekeeping.
+    chains_soon: bool,
+    look_ups: following::LookUps,
+    announced: upgrade::Announced,
     withdrawal: withdrawing::Withdrawal,
     start: starting::Start,
     answers: answering::Answers,
@@ -239,6 +247,8 @@
 
 impl Core {
     pub fn new(settings: Settings, tuning: Tuning) -> Core {
+        let mut settings = settings;
+        settings.cluster.state = settings.cluster.state.least();
         let names = settings.node_names();
         let share = names.len().max(1) as f64;
         let state = &settings.cluster.state;
@@ -290,6 +300,10 @@
             cloud: fleet::Fleet::default(),
             learned: learned::Learned::default(),
             queries: Queries::default(),
+            chains: chains::Chains::default(),
+            chains_soon: false,
+            look_ups: following::LookUps::default(),
+            announced: upgrade::Announced::default(),
             withdrawal: withdrawing::Withdrawal::default(),
             start: starting::Start::default(),
             answers: answering::Answers::default(),
@@ -345,6 +359,10 @@
             self.next_housekeeping = self.now + Span(500);
             self.housekeeping();
         }
+        self.look_up_unknown();
+        if self.chains_soon {
+            self.release_ready();
+        }
         if self.deal_soon && self.now >= self.next_deal {
             self.deal_soon = false;
             self.next_deal = self.now + Span(self.tuning.round_ms);
@@ -369,6 +387,9 @@
         self.lead();
         self.share_allowances();
         self.finish_jobs();
+        self.raise_level();
+        self.release_ready();
+        self.write_ends();
         self.put_away();
     }
 
--- a/src/coordination/part.rs
+++ b/src/coordination/part.rs
@@ -91,6 +91,7 @@
     }
 
     pub(super) fn job_changed(&mut self, id: &JobRef, news: News) {
+        self.follow(id);
         if let Some(job) = self.view.jobs.get(id).filter(|j| j.record.end.is_none()) {
             self.deal_soon |= job.record.plan.is_none();
             let spec = &job.record.spec;
--- a/src/coordination/past.rs
+++ b/src/coordination/past.rs
@@ -28,7 +28,8 @@
         };
         for (id, job) in &self.view.jobs {
             let Some(end) = job.record.end.filter(|_| !self.view.active.contains(id)) else { continue };
-            if self.age_s(job) < PUT_AWAY_AFTER_S || self.busy_keys.contains(&job_key(id)) {
+            if self.age_s(job) < PUT_AWAY_AFTER_S || self.busy_keys.contains(&job_key(id)) || self.chains.is_needed(id)
+            {
                 continue;
             }
             if txn.changes.len() + 2 > 2 * most {
--- a/src/coordination/preempting.rs
+++ b/src/coordination/preempting.rs
@@ -38,7 +38,7 @@
     /// True if it has to make room for a job, which is within its guarantee or not.
     fn yields_to(&self, claimant: &Job, within: bool) -> bool {
         let spec = &claimant.record.spec;
-        let lesser = self.priority < spec.priority;
+        let lesser = self.priority < claimant.priority();
         // Borrowed beyond the other team's own guarantee.
         let borrowed = within && self.team != spec.team && !self.guaranteed;
         !self.taken && (lesser || borrowed)
@@ -105,8 +105,7 @@
 
     /// Work that would only be late anyway, or can still wait, stops nobody.
     fn worth_stopping_for(&self, job: &Job, wait_s: f64, within: bool) -> bool {
-        let spec = &job.record.spec;
-        if spec.priority >= Priority::High {
+        if job.priority() >= Priority::High {
             return wait_s > NEARLY_DONE_S;
         }
         // Taking back what others borrow costs their work: only where room
@@ -146,7 +145,7 @@
             victims.push(Victim {
                 key,
                 loss: if saves { spec.save_s } else { ran } * spec.cpus + 1.0,
-                priority: spec.priority,
+                priority: job.priority(),
                 team: &spec.team,
                 guaranteed: guaranteed.contains(&key.0),
                 grace_s: if saves { spec.save_s.max(1.0) * 1.5 } else { 0.0 },
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -36,10 +36,15 @@
     }
 
     fn known_final(&self, job: &JobRef) -> Option<JobState> {
-        self.view.final_state(job).map(state_of)
+        self.final_state(job).map(state_of)
     }
 
     pub(super) fn answer_job(&mut self, request: RequestId, status: u16, id: &JobRef, record: Option<&JobRecord>) {
+        // A wrong answer could not be taken back: not before those that it
+        // follows are looked up.
+        if self.chains.unsettled(id) {
+            return self.reply(request, Reply::later("a job before it is being looked up"));
+        }
         let ended = record.and_then(|r| r.end).map(state_of).or_else(|| self.known_final(id));
         let counts = self.view.jobs.get(id).map_or((0, 0), |j| j.counts());
         let (state, counts) = match ended {
@@ -84,12 +89,23 @@
         if self.now < self.retry_state_at || self.reads.level(self.now) < -0.5 * self.reads.per_s() {
             return self.reply(request, Reply::later("busy"));
         }
-        self.reads.force(self.now, 1.0);
-        self.writes.force(self.now, 1.0);
-        let record = JobRecord { plan: self.first_plan(&spec), spec: (*spec).clone(), at: self.wall_ms, end: None };
+        if !spec.awaits.is_empty() {
+            return self.submit_after(request, spec);
+        }
+        let record = JobRecord { plan: self.first_plan(&spec), ..JobRecord::new((*spec).clone(), self.wall_ms) };
+        self.write_submission(request, spec, record);
+    }
+
+    /// Accepts a job with its record.
+    pub(super) fn write_submission(&mut self, request: RequestId, spec: Box<JobSpec>, record: JobRecord) {
         let Ok(value) = serde_json::to_value(&record) else {
             return self.reply(request, Reply::problem(400, "not a job"));
         };
+        if !self.fits_value(&value) {
+            return self.refuse(request, spec, "the job and the names it awaits are too large to be kept".into());
+        }
+        self.reads.force(self.now, 1.0);
+        self.writes.force(self.now, 1.0);
         let key = job_key(&spec.id);
         let txn = Txn {
             // A retry may come when the job is long over and put away.
@@ -104,7 +120,7 @@
 
     /// A job of one slice, or one that must stay whole, goes to the part its
     /// name hashes to; larger arrays are left to the leader.
-    fn first_plan(&self, spec: &JobSpec) -> Option<Plan> {
+    pub(super) fn first_plan(&self, spec: &JobSpec) -> Option<Plan> {
         let size = self.slice_size(spec.tasks);
         let home = PartId::of(spec.id.as_str(), self.parts);
         let slices = spec.tasks.div_ceil(size) as usize;
@@ -121,6 +137,11 @@
         self.tuning.slice_tasks.max(shared).max(tasks.div_ceil((value / digits).max(1)))
     }
 
+    /// True if the state service takes a value now and when its limits change.
+    pub(super) fn fits_value(&self, value: &serde_json::Value) -> bool {
+        serde_json::to_vec(value).is_ok_and(|bytes| bytes.len() as f64 <= self.settings.cluster.state.value_kb * 1024.0)
+    }
+
     /// Why a job can never run, if so.
     fn impossible(&self, spec: &JobSpec) -> Option<String> {
         let Some(team) = self.settings.cluster.teams.iter().find(|t| t.name == spec.team) else {
@@ -178,7 +199,7 @@
     }
 
     /// Takes a job that was read into the view.
-    fn take_job(&mut self, answer: StateAnswer) -> Option<(JobRef, JobRecord)> {
+    pub(super) fn take_job(&mut self, answer: StateAnswer) -> Option<(JobRef, JobRecord)> {
         let StateAnswer::Found(item) = answer else { return None };
         let record: JobRecord = serde_json::from_value(item.value.clone()).ok()?;
         let changed = self.view.apply(&item.key, Some(item.value), item.version);
@@ -223,6 +244,9 @@
         let Some((id, record)) = self.take_job(answer) else {
             return self.reply(request, Reply::later("the state service does not answer"));
         };
+        if self.final_state(&id).is_some() {
+            return self.answer_job(request, 200, &id, None);
+        }
         if record.end.is_some() || tries == 0 {
             if record.end.is_none() {
                 return self.reply(request, Reply::later("the job is changing"));
--- a/src/coordination/waiting.rs
+++ b/src/coordination/waiting.rs
@@ -28,7 +28,7 @@
         let mut queue: Vec<Contender<Precedence, (&JobRef, Place, bool)>> = vec![];
         let mut any_ours = false;
         for (place, (id, job)) in self.view.jobs.iter().enumerate() {
-            if job.record.end.is_some() || self.held_back(id, job) {
+            if job.record.end.is_some() || job.record.waits() || self.held_back(id, job) {
                 continue;
             }
             let ours = job.idle() > 0;
@@ -38,11 +38,11 @@
             let (done, on) = job.counts();
             let left = f64::from(spec.tasks.saturating_sub(done + on)) + f64::from(on) * 0.5;
             queue.push(Contender {
-                rank: (spec.priority < Priority::High, !guaranteed.contains(id), std::cmp::Reverse(spec.priority)),
+                rank: (job.priority() < Priority::High, !guaranteed.contains(id), std::cmp::Reverse(job.priority())),
                 left_s: (self.allowed_s(job) - self.age_s(job)).clamp(-1e6, 1e6),
                 run_s,
                 work: left * spec.cpus * run_s,
-                at: job.record.at,
+                at: job.record.since(),
                 id: (id, Place(place), ours),
             });
         }
@@ -60,20 +60,25 @@
         ours * f64::from(self.parts) / self.mine.len().max(1) as f64
     }
 
-    /// Age of a job, estimated by the time of day.
+    /// Time since a job was accepted, or since it may start if it waited for
+    /// others, estimated by the time of day.
     pub(super) fn age_s(&self, job: &Job) -> f64 {
-        self.wall_ms.saturating_sub(job.record.at) as f64 / 1000.0
+        self.wall_ms.saturating_sub(job.record.since()) as f64 / 1000.0
     }
 
-    /// Time a job may take from its submission, as its user says, or the
-    /// nearest of the aims that it can still meet.
+    /// Time a job may take from then, as its user or those that need it say,
+    /// or the nearest of the aims that it can still meet.
     pub(super) fn allowed_s(&self, job: &Job) -> f64 {
         let spec = &job.record.spec;
-        if let Some(deadline) = spec.deadline_s {
-            return deadline;
-        }
-        let soonest_s = self.age_s(job) + 0.5 * self.learned.run_time(job);
-        self.aims.finish_within_s(&job.class, soonest_s).unwrap_or(600.0 + spec.estimate_s * 3.0)
+        let since = job.record.since();
+        let after = |due_ms: u64| (due_ms as f64 - since as f64) / 1000.0;
+        // A deadline counts from the submission, however long the job waited.
+        let own = spec.deadline_s.map(|deadline| deadline + after(job.record.at));
+        let own = own.unwrap_or_else(|| {
+            let soonest_s = self.age_s(job) + 0.5 * self.learned.run_time(job);
+            self.aims.finish_within_s(&job.class, soonest_s).unwrap_or(600.0 + spec.estimate_s * 3.0)
+        });
+        job.urge.and_then(|urge| urge.due_ms).map_or(own, |due| own.min(after(due)))
     }
 
     /// Jobs that fit into their team's guarantee along with its earlier ones.
@@ -89,10 +94,13 @@
             .jobs
             .iter()
             .filter(|(id, j)| {
-                j.record.end.is_none() && left.iter().any(|(team, _)| **team == j.team) && !self.suspect(id)
+                j.record.end.is_none()
+                    && !j.record.waits()
+                    && left.iter().any(|(team, _)| **team == j.team)
+                    && !self.suspect(id)
             })
             .collect();
-        jobs.sort_by(|(a_id, a), (b_id, b)| (a.record.at, a_id).cmp(&(b.record.at, b_id)));
+        jobs.sort_by(|(a_id, a), (b_id, b)| (a.record.since(), a_id).cmp(&(b.record.since(), b_id)));
         let mut within = JobSet::default();
         for (id, job) in jobs {
             let spec = &job.record.spec;
--- a/src/coordination/writing.rs
+++ b/src/coordination/writing.rs
@@ -106,7 +106,7 @@
             let job = self.view.jobs.get(&key.0);
             let slice = job.and_then(|j| Some((j.record.end, j.slices().get(key.1)?)));
             let haste = slice.map_or(Haste::Whenever, |(end, slice)| haste_of(slice, end.is_some()));
-            let priority = job.map_or(Priority::Low, |j| j.record.spec.priority);
+            let priority = job.map_or(Priority::Low, |j| j.priority());
             let due = Time(since.0 + patience_ms(priority));
             order.push((haste.after(self.now.since(*since)), due, key.clone()));
         }
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -1,7 +1,7 @@
 //! What users send and receive.
 
 use crate::units::JobRef;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Priority {
@@ -67,14 +67,37 @@
     pub save_s: f64,
     #[serde(rename = "tide_s", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts, each once.
+    #[serde(default, skip_serializing, deserialize_with = "job_refs")]
+    pub awaits: Vec<JobRef>,
+}
+
+/// A list of job ids or null.
+fn job_refs<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<JobRef>, D::Error> {
+    let mut refs = Option::<Vec<JobRef>>::deserialize(deserializer)?.unwrap_or_default();
+    refs.sort();
+    refs.dedup();
+    Ok(refs)
 }
 
 /// The most tasks a job may have.
 pub const MAX_TASKS: u32 = 100_000;
 
+const REF_PREFIX: &str = "wk-";
+
+/// What a job's id has after the prefix that all of them share.
+pub fn job_ref_rest(id: &JobRef) -> &str {
+    id.as_str().strip_prefix(REF_PREFIX).unwrap_or(id.as_str())
+}
+
+/// The id that has this after its prefix.
+pub fn job_ref_of(rest: &str) -> JobRef {
+    JobRef::new(&format!("{REF_PREFIX}{rest}"))
+}
+
 /// Ids are `wk-` and digits; anything else was never accepted.
 pub fn valid_job_ref(text: &str) -> bool {
-    text.strip_prefix("wk-")
+    text.strip_prefix(REF_PREFIX)
         .is_some_and(|rest| !rest.is_empty() && rest.len() <= 40 && rest.bytes().all(|b| b.is_ascii_alphanumeric()))
 }
 
@@ -105,6 +128,9 @@
         if !valid_job_ref(self.id.as_str()) {
             return Err("ref is not a job id".into());
         }
+        if self.awaits.iter().any(|name| !valid_job_ref(name.as_str())) {
+            return Err("awaits names what is not a job id".into());
+        }
         if self.tasks == 0 || self.tasks > MAX_TASKS {
             return Err("loads is out of range".into());
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -99,6 +99,38 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What the limits will be from some moment on; none: they stay.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits to come; what is missing stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextLimits {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The limits that hold before and after they change: the moment comes
+    /// without notice, and what was begun before it must still pass after.
+    pub fn least(&self) -> StateLimits {
+        let next = self.next.clone().unwrap_or_default();
+        let least = |now: f64, then: Option<f64>| then.map_or(now, |then| then.min(now));
+        StateLimits {
+            rps: least(self.rps, next.rps),
+            write_rps: least(self.write_rps, next.write_rps),
+            value_kb: least(self.value_kb, next.value_kb),
+            txn_ops: next.txn_ops.map_or(self.txn_ops, |then| then.min(self.txn_ops)),
+            next: None,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -128,13 +160,14 @@
 
     fn check(&self, file: &str) -> Result<(), SettingsError> {
         let c = &self.cluster;
+        let state = c.state.least();
         let positive = [
             ("cluster.workers.report_s", c.workers.report_s),
             ("cluster.workers.lease_s", c.workers.lease_s),
             ("cluster.workers.cancel_s", c.workers.cancel_s),
-            ("cluster.state.rps", c.state.rps),
-            ("cluster.state.write_rps", c.state.write_rps),
-            ("cluster.state.value_kb", c.state.value_kb),
+            ("cluster.state.rps", state.rps),
+            ("cluster.state.write_rps", state.write_rps),
+            ("cluster.state.value_kb", state.value_kb),
             ("cluster.cloud.rps", c.cloud.rps),
             ("cluster.quota.ram_mb", c.quota.ram_mb),
         ];
@@ -146,7 +179,7 @@
         if self.node.is_empty() {
             return Err(SettingsError::Value(file.into(), "label", "is empty"));
         }
-        if c.state.txn_ops < 4 {
+        if state.txn_ops < 4 {
             return Err(SettingsError::Value(file.into(), "cluster.state.txn_ops", "must be at least 4"));
         }
         if c.quota.fd_limit < 32 {
--- a/src/transport/engine.rs
+++ b/src/transport/engine.rs
@@ -63,7 +63,7 @@
     let (notes, asker) = peers::start(settings.peer_listen, peer_addrs, engine.clone(), rollouts.is_some())?;
     if let Some(rollouts) = rollouts {
         let site = Arc::new(Controller::new(engine.clone(), asker, settings.services.state));
-        let value_bytes = (settings.cluster.state.value_kb * 1024.0) as usize;
+        let value_bytes = (settings.cluster.state.least().value_kb * 1024.0) as usize;
         tillercleat_rollout::host::start(&rollouts, &settings.node, value_bytes, site)?;
     }
     tracing::info!("room for {} connections", plan.connections);
--- a/src/transport/rollouts.rs
+++ b/src/transport/rollouts.rs
@@ -178,6 +178,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        awaits: vec![],
     }
 }
 
