--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -1248,7 +1248,7 @@
                 if accepted && now > calm_from.max(job.answered) + FORGOTTEN {
                     self.broken.push(format!("forgotten: {id} at {now}, last heard of at {}", job.answered));
                 }
-                if matches!(status, 400 | 404 | 422) {
+                if what == "submit" && matches!(status, 400 | 422) {
                     self.final_no.insert(id, status);
                     return;
                 }
