Records stored when values were larger go on under smaller limits

A slice whose plain form does not fit is written densely once all controllers read that; where it still does not fit no further task of it is started, and it is written as its tasks end. The fleet's record is cut to fit before each write. What would never be taken is not sent, and told once.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -3,6 +3,7 @@
 use crate::protocol::users::{job_ref_of, job_ref_rest, JobSpec};
 use crate::units::{Attempt, JobRef, LeaseId, MachineId, NodeName, PartId};
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use std::collections::BTreeMap;
 
 /// Everything the service keeps begins with this.
@@ -233,11 +234,23 @@
     pub fn any_on(&self) -> bool {
         self.tasks.iter().any(|t| matches!(t, TaskRecord::On(..)))
     }
+    /// The dense form: for slices whose plain form does not fit into one value,
+    /// once all controllers can read it. None if machines' names are too odd.
+    pub fn dense(&self) -> Option<Value> {
+        let plain = PackedSlice::from(self.clone());
+        let packed = PackedSlice { t: vec![], z: Some(super::dense::write(&plain.t)?), ..plain };
+        serde_json::to_value(packed).ok()
+    }
+
     pub fn count_done(&self) -> usize {
         self.tasks.iter().filter(|t| **t == TaskRecord::Done).count()
     }
 }
 
+/// A task that was ever tried and is not done: its index, attempt, and machine
+/// unless it is on none.
+pub(super) type Tried = (usize, Attempt, Option<MachineId>);
+
 /// The packed form: the number of tasks, those done as ranges, and the rest
 /// that were ever tried as `[index, attempt, machine or null]`.
 #[derive(Serialize, Deserialize)]
@@ -246,12 +259,15 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     d: Vec<(usize, usize)>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    t: Vec<(usize, Attempt, Option<MachineId>)>,
+    t: Vec<Tried>,
+    /// The same in less room.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    z: Option<String>,
 }
 
 impl From<SliceRecord> for PackedSlice {
     fn from(slice: SliceRecord) -> Self {
-        let mut packed = PackedSlice { n: slice.tasks.len(), d: vec![], t: vec![] };
+        let mut packed = PackedSlice { n: slice.tasks.len(), d: vec![], t: vec![], z: None };
         for (index, task) in slice.tasks.into_iter().enumerate() {
             match task {
                 TaskRecord::Idle(Attempt(0)) => {}
@@ -278,7 +294,8 @@
             let range = slice.tasks.get_mut(first..=last).ok_or("a range out of bounds")?;
             range.fill(TaskRecord::Done);
         }
-        for (index, attempt, machine) in packed.t {
+        let dense = packed.z.map(|text| super::dense::read(&text).ok_or("a dense form that makes no sense"));
+        for (index, attempt, machine) in packed.t.into_iter().chain(dense.transpose()?.into_iter().flatten()) {
             *slice.tasks.get_mut(index).ok_or("an index out of bounds")? = match machine {
                 Some(machine) => TaskRecord::On(attempt, machine),
                 None => TaskRecord::Idle(attempt),
@@ -324,13 +341,16 @@
         fn slices_survive_packing(tasks in proptest::collection::vec(task(), 0..100)) {
             let slice = SliceRecord { tasks };
             let text = serde_json::to_string(&slice).unwrap();
-            prop_assert_eq!(serde_json::from_str::<SliceRecord>(&text).unwrap(), slice);
+            prop_assert_eq!(serde_json::from_str::<SliceRecord>(&text).unwrap(), slice.clone());
+            prop_assert_eq!(serde_json::from_value::<SliceRecord>(slice.dense().unwrap()).unwrap(), slice);
         }
 
         #[test]
-        fn garbage_is_refused_without_panic(n in 0usize..200_000, a in any::<usize>(), b in any::<usize>()) {
+        fn garbage_is_refused_without_panic(n in 0usize..200_000, a in any::<usize>(), b in any::<usize>(), z in ".{0,40}") {
             let text = format!(r#"{{"n":{n},"d":[[{a},{b}]],"t":[[{b},1,null]]}}"#);
             let _ = serde_json::from_str::<SliceRecord>(&text);
+            let text = serde_json::json!({"n": n % 500, "z": format!("{z} {a}:")});
+            let _ = serde_json::from_value::<SliceRecord>(text);
         }
     }
 
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -114,6 +114,13 @@
         self.sums.idle
     }
 
+    /// Tasks that take room in the record: those wanted on machines, and those
+    /// tried before.
+    pub fn tried(&self) -> usize {
+        let fresh = |task: &&TaskRecord| matches!(task, TaskRecord::Done | TaskRecord::Idle(Attempt(0)));
+        self.want.iter().flat_map(|w| &w.tasks).filter(|task| !fresh(task)).count()
+    }
+
     /// True if any task is on a machine, as is wanted or else as is durable.
     pub fn any_on(&self) -> bool {
         if self.want.is_some() {
--- a/src/coordination/allowances.rs
+++ b/src/coordination/allowances.rs
@@ -90,6 +90,9 @@
             Condition { key: keys[1].clone(), version: version(&self.view, to) },
         ];
         let (Ok(a), Ok(b)) = (serde_json::to_value(&ours), serde_json::to_value(&theirs)) else { return false };
+        if !self.fits_value(&a) || !self.fits_value(&b) {
+            return false;
+        }
         if let Some(mine) = self.mine.get_mut(&part) {
             mine.giving = Some(ours);
         }
--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -138,7 +138,7 @@
         if self.busy_keys.contains(FLEET_KEY) {
             return;
         }
-        let mut record = self.view.fleet.record.clone().unwrap_or_default();
+        let mut record = self.fitted_fleet(self.view.fleet.record.clone().unwrap_or_default());
         record.rentals += 1;
         request.request = format!("r-{}", record.rentals);
         let Some(txn) = self.fleet_txn(&record) else { return };
--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -105,7 +105,15 @@
     }
 
     /// A transaction on keys that nobody else in this node is changing.
+    /// What would never be taken is not sent.
     pub(super) fn simple_txn(&mut self, txn: Txn) {
+        let too_large = |c: &&Change| matches!(c, Change::Put { value, .. } if !self.fits_value(value));
+        if let Some(key) = txn.changes.iter().find(too_large).map(change_key) {
+            if self.too_large.insert(key.to_string()) {
+                tracing::error!("record {key} does not fit into one value and is not written");
+            }
+            return;
+        }
         let cost = txn.changes.len() as f64;
         self.reads.force(self.now, 1.0);
         self.writes.force(self.now, cost);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -213,6 +213,8 @@
     granting: bool,
     renewing: bool,
     renew_at: Time,
+    /// Keys whose values did not fit, each told once.
+    too_large: BTreeSet<String>,
     /// Keys with a simple transaction on its way.
     busy_keys: BTreeSet<String>,
     mine: BTreeMap<PartId, Mine>,
@@ -286,6 +288,7 @@
             granting: false,
             renewing: false,
             renew_at: Time(0),
+            too_large: BTreeSet::new(),
             busy_keys: BTreeSet::new(),
             mine: BTreeMap::new(),
             target_since: BTreeMap::new(),
--- a/src/coordination/returning.rs
+++ b/src/coordination/returning.rs
@@ -4,7 +4,7 @@
 use super::demand::Demand;
 use super::fleet::Owned;
 use super::*;
-use crate::bookkeeping::records::FLEET_KEY;
+use crate::bookkeeping::records::{FleetRecord, FLEET_KEY};
 use crate::protocol::cloud::RETURN_LIMIT;
 use foldhash::fast::FixedState;
 use std::collections::HashSet;
@@ -27,6 +27,12 @@
         let gone = (all / 4).max(1);
         Names { drain: all.saturating_sub(gone).max(1), gone }
     }
+
+    /// Keeps of the machines that are gone the last ones.
+    fn keep_newest(&self, gone: &mut Vec<MachineId>) {
+        let over = gone.len().saturating_sub(self.gone);
+        gone.drain(..over);
+    }
 }
 
 impl Core {
@@ -105,13 +111,21 @@
         self.write_fleet();
     }
 
+    /// The record as it fits into one value, whatever was written before.
+    pub(super) fn fitted_fleet(&self, mut record: FleetRecord) -> FleetRecord {
+        let most = Names::within(self.settings.cluster.state.value_kb);
+        record.drain.truncate(most.drain);
+        most.keep_newest(&mut record.gone);
+        record
+    }
+
     /// Writes which machines are on their way out, and which are gone.
     pub(super) fn write_fleet(&mut self) {
         if self.busy_keys.contains(FLEET_KEY) || !self.leading() {
             return;
         }
-        let mut record = self.view.fleet.record.clone().unwrap_or_default();
-        let before = record.clone();
+        let before = self.view.fleet.record.clone().unwrap_or_default();
+        let mut record = self.fitted_fleet(before.clone());
         // Of a large fleet only so many fit into one record; the rest are
         // named when these are gone.
         let most = Names::within(self.settings.cluster.state.value_kb);
@@ -133,8 +147,7 @@
         if self.cloud.known {
             record.drain.retain(|n| self.cloud.machines.contains_key(n));
         }
-        let over = record.gone.len().saturating_sub(most.gone);
-        record.gone.drain(..over);
+        most.keep_newest(&mut record.gone);
         while self.cloud.gone.len() > most.gone {
             self.cloud.gone.pop_first();
         }
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -136,6 +136,7 @@
         let boot_s = self.quickest_boot_s();
         let mut shapes = Shapes::default();
         let mut closed = Closed::default();
+        let most_on = self.most_on();
         for (id, job) in order {
             if places.len() >= self.tuning.round_limit || scored >= 3 * most_scores {
                 break;
@@ -206,9 +207,13 @@
                     continue;
                 }
                 let Some(want) = job.slices()[index].want() else { continue };
+                let mut may_start = most_on.saturating_sub(job.slices()[index].tried());
                 let first = job.record.plan.as_ref().map_or(0, |p| p.first_task(index));
                 for (at, task) in want.tasks.iter().enumerate() {
                     let TaskRecord::Idle(attempt) = task else { continue };
+                    if attempt.0 == 0 && may_start == 0 {
+                        continue;
+                    }
                     if full || (!gang && places.len() >= self.tuning.round_limit) {
                         break;
                     }
@@ -258,6 +263,7 @@
                     }
                     // One task at a time shows whether it still fails.
                     full |= suspect && !gang;
+                    may_start = may_start.saturating_sub(usize::from(attempt.0 == 0));
                     let key = (id.clone(), first + at as u32);
                     places.push((key, Attempt(attempt.0 + 1), seats[best.seat].name.clone()));
                 }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -10,8 +10,11 @@
 /// Slices that a large job has for each part: enough to deal them by room.
 const SLICES_A_PART: u32 = 16;
 
+/// What is written into a job's record when it becomes ready and ends.
+const END_BYTES: usize = 64;
+
 /// What a running task takes of its slice's record at the most, about.
-const TASK_BYTES: u32 = 32;
+pub(super) const TASK_BYTES: u32 = 32;
 
 impl Core {
     pub(super) fn user(&mut self, request: RequestId, ask: Ask) {
@@ -101,7 +104,9 @@
         let Ok(value) = serde_json::to_value(&record) else {
             return self.reply(request, Reply::problem(400, "not a job"));
         };
-        if !self.fits_value(&value) {
+        // With room for its plan, if that comes later, and for its end.
+        let plan = if record.plan.is_none() { self.plan_bytes(spec.tasks) } else { 0 };
+        if !self.fits(value.to_string().len() + plan + END_BYTES) {
             return self.refuse(request, spec, "the job and the names it awaits are too large to be kept".into());
         }
         self.reads.force(self.now, 1.0);
@@ -139,7 +144,17 @@
 
     /// True if the state service takes a value now and when its limits change.
     pub(super) fn fits_value(&self, value: &serde_json::Value) -> bool {
-        serde_json::to_vec(value).is_ok_and(|bytes| bytes.len() as f64 <= self.settings.cluster.state.value_kb * 1024.0)
+        serde_json::to_vec(value).is_ok_and(|bytes| self.fits(bytes.len()))
+    }
+
+    pub(super) fn fits(&self, bytes: usize) -> bool {
+        bytes as f64 <= self.settings.cluster.state.value_kb * 1024.0
+    }
+
+    /// What the plan of a job with so many tasks takes.
+    fn plan_bytes(&self, tasks: u32) -> usize {
+        let digits = self.parts.to_string().len() + 1;
+        tasks.div_ceil(self.slice_size(tasks)) as usize * digits + 32
     }
 
     /// Why a job can never run, if so.
--- a/src/coordination/writing.rs
+++ b/src/coordination/writing.rs
@@ -58,6 +58,10 @@
     }
 }
 
+/// Tasks that a slice may have on machines, and tried before, so that its dense
+/// form fits into one value for certain: bytes a task, at the most.
+const DENSE_BYTES: usize = 12;
+
 /// The change that makes a slice of a job as it is wanted, if one is needed.
 fn slice_change(job: &Job, id: &JobRef, index: usize) -> Option<Change> {
     let slice = &job.slices()[index];
@@ -133,6 +137,8 @@
                 sent.push((id, index));
                 continue;
             };
+            // What does not fit waits: as its tasks end, its record shrinks.
+            let Some(change) = self.fitted_slice(change, &job.slices()[index]) else { continue };
             // Room for the job's own record, should this slice be its last.
             if txn.changes.len() + 2 > limit || bytes > 40_000 {
                 break;
@@ -184,6 +190,26 @@
         }
     }
 
+    /// The change in a form that fits into one value, if any does: slices may
+    /// have been cut when values were larger.
+    fn fitted_slice(&self, change: Change, slice: &Slice) -> Option<Change> {
+        let Change::Put { put, value, lease } = change else { return Some(change) };
+        let small = slice.want().is_some_and(|want| self.fits(want.tasks.len() * users::TASK_BYTES as usize));
+        if small || self.fits_value(&value) {
+            return Some(Change::Put { put, value, lease });
+        }
+        let dense = slice.want().filter(|_| self.chains_on()).and_then(SliceRecord::dense);
+        dense.filter(|value| self.fits_value(value)).map(|value| Change::Put { put, value, lease })
+    }
+
+    /// Tasks of a slice that may be on machines at the same time, so that its
+    /// record stays one value. Slices are cut so that this is all of them,
+    /// but for those cut when values were larger and those of huge jobs.
+    pub(super) fn most_on(&self) -> usize {
+        let bytes = (self.settings.cluster.state.value_kb * 1024.0 * 0.9) as usize;
+        bytes / if self.chains_on() { DENSE_BYTES } else { users::TASK_BYTES as usize }
+    }
+
     /// Machines that a committed transaction put tasks on may be told so now:
     /// those that do not list them yet. A slice names all machines that its
     /// tasks are on, and each answer made in vain costs as much as a report.
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -1366,6 +1366,13 @@
         self.jobs.get(id).is_some_and(|j| j.finished.len() == j.spec.tasks as usize)
     }
 
+    /// What controllers are told of limits to come, from their next lives on.
+    pub fn tell_next(&mut self, next: serde_json::Value) {
+        for settings in &mut self.settings {
+            settings.cluster.state.next = serde_json::from_value(next.clone()).expect("limits");
+        }
+    }
+
     /// A node is of the version before from the start.
     pub fn older(&mut self, node: usize) {
         self.nodes[node].older = true;
