--- /dev/null
+++ b/tests/production.rs
@@ -0,0 +1,123 @@
+//! What the version in production stores and says, as it wrote it, read by this
+//! one; and what this one stores, as that one reads it. The texts under
+//! `tests/production` were written by the commit named in `deploy/service.toml`.
+
+use prost::Message;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tillercleat::bookkeeping::records as new;
+use tillercleat::bookkeeping::view::View;
+use tillercleat::protocol::peer;
+use tillercleat::units::{JobRef, LeaseId, Revision};
+
+/// A job's record as the version in production knows it: what else there is, it
+/// does not see, and drops when it writes the record again.
+#[derive(Serialize, Deserialize)]
+struct OldJob {
+    spec: Value,
+    at: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    plan: Option<OldPlan>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    end: Option<String>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct OldPlan {
+    size: u32,
+    parts: Vec<u32>,
+}
+
+fn again<T: Serialize + serde::de::DeserializeOwned>(value: &Value) -> Value {
+    let record: T = serde_json::from_value(value.clone()).expect("a record that this version reads");
+    serde_json::to_value(record).expect("a value")
+}
+
+#[test]
+fn records_of_the_version_in_production_are_read_and_written_as_they_were() {
+    let mut families = std::collections::BTreeSet::new();
+    let mut view = View::default();
+    for (at, line) in include_str!("production/records.txt").lines().enumerate() {
+        let (key, text) = line.split_once(' ').expect("a key and a value");
+        let value: Value = serde_json::from_str(text).expect("json");
+        let family = key.split('/').take(2).collect::<Vec<_>>().join("/");
+        let written = match family.as_str() {
+            "t/a" => again::<new::AllowanceRecord>(&value),
+            "t/f" => again::<new::FleetRecord>(&value),
+            "t/k" => again::<tillercleat::protocol::cloud::Catalog>(&value),
+            "t/l" | "t/o" => again::<new::HolderRecord>(&value),
+            "t/j" => again::<new::JobRecord>(&value),
+            "t/s" => again::<new::SliceRecord>(&value),
+            // Says what it can do beside, which the one before does not see.
+            "t/n" | "t/w" => {
+                let mut node = again::<new::NodeRecord>(&value);
+                assert_eq!(node.as_object_mut().expect("an object").remove("level"), Some(json!(0)));
+                node
+            }
+            _ => again::<new::PastRecord>(&value),
+        };
+        assert_eq!(written, value, "{key}");
+        view.apply(key, Some(value), Revision(at as u64 + 1));
+        families.insert(if key.starts_with("f/") { "f".into() } else { family });
+    }
+    assert_eq!(families.len(), 10, "{families:?}");
+    assert!(view.jobs.values().all(|job| !job.record.waits()));
+}
+
+#[test]
+fn messages_of_the_version_in_production_say_the_same() {
+    fn same<T: Message + Default>(bytes: &[u8]) -> Vec<u8> {
+        T::decode(bytes).expect("a message").encode_to_vec()
+    }
+    for line in include_str!("production/messages.txt").lines() {
+        let (name, hex) = line.split_once(' ').expect("a name and bytes");
+        let byte = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16).expect("hex");
+        let bytes: Vec<u8> = (0..hex.len()).step_by(2).map(byte).collect();
+        let again = match name {
+            "note" => same::<peer::Note>(&bytes),
+            "heard" => same::<peer::Heard>(&bytes),
+            "replicas-ask" => same::<peer::ReplicasAsk>(&bytes),
+            "replicas-told" => same::<peer::ReplicasTold>(&bytes),
+            "reach-ask" => same::<peer::ReachAsk>(&bytes),
+            "reach-told" => same::<peer::ReachTold>(&bytes),
+            other => panic!("{other}"),
+        };
+        assert_eq!(again, bytes, "{name}");
+    }
+}
+
+/// A waiting job is to the version before a job that is dealt already, in no
+/// slice: it deals nothing, starts nothing, calls nothing done. What it writes,
+/// a cancellation, ends the job for all.
+#[test]
+fn the_version_in_production_reads_a_waiting_job_as_one_without_work() {
+    let jobs = include_str!("production/records.txt").lines().filter(|line| line.starts_with("t/j/"));
+    let open = jobs.filter(|line| !line.contains("\"end\"")).map(|line| line.split_once(' ').expect("two").1);
+    for text in open {
+        let open: new::JobRecord = serde_json::from_str(text).expect("a record");
+        let waiting = new::JobRecord {
+            plan: Some(new::Plan { size: 1, parts: vec![] }),
+            awaits: new::Awaits(vec![JobRef::new("wk-000001"), JobRef::new("wk-abc")]),
+            ..open.clone()
+        };
+        let value = serde_json::to_value(&waiting).expect("a value");
+        assert_eq!(serde_json::from_value::<new::JobRecord>(value.clone()).expect("a record"), waiting);
+        let old: OldJob = serde_json::from_value(value).expect("what the version before reads");
+        // Dealt (`plan` is there), in no slices, so none of them is ever begun or done.
+        assert_eq!(old.plan.as_ref().map(|plan| plan.parts.len()), Some(0));
+        assert_eq!(old.end, None);
+        let cancelled = OldJob { end: Some("cancelled".into()), ..old };
+        let read: new::JobRecord =
+            serde_json::from_value(serde_json::to_value(cancelled).expect("a value")).expect("a record");
+        assert_eq!((read.end, read.waits(), read.awaits.is_empty()), (Some(new::End::Cancelled), false, true));
+        // Once it may start it is a job like any other, also without the time since when.
+        let ready = new::JobRecord { ready: Some(open.at + 5), ..open.clone() };
+        let old: OldJob = serde_json::from_value(serde_json::to_value(ready).expect("a value"))
+            .expect("what the version before reads");
+        let read: new::JobRecord =
+            serde_json::from_value(serde_json::to_value(old).expect("a value")).expect("a record");
+        assert_eq!(read, open);
+    }
+    let node = serde_json::to_value(new::NodeRecord { lease: LeaseId(7), level: new::Level(1) }).expect("a value");
+    assert_eq!(node["lease"], 7);
+}
