Machines that report but hear nothing get no work; owners nobody hears hand over

Reports are numbered: the next number of a session shows that an answer came. Late copies renew nothing and bring no machine back that was given up.

--- a/src/coordination/answering.rs
+++ b/src/coordination/answering.rs
@@ -87,7 +87,8 @@
         let before_silence = self.quiet().0 as f64 - 1.25 * report_ms - MARGIN.0 as f64;
         let within = |most: Span| Span(most.0.min((report_ms * SHARE).min(before_silence).max(0.0) as u64));
         let lives = report.tasks.iter().any(|t| t.state != TaskState::Exited);
-        let usable = machine.acked && machine.notice.is_none() && !machine.faulty && !mine.releasing;
+        let usable =
+            machine.acked && machine.notice.is_none() && !machine.faulty && !self.is_deaf(machine) && !mine.releasing;
         if !usable || self.draining(&report.machine) || !self.state_fresh() {
             return None;
         }
--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -46,7 +46,7 @@
             .cloud
             .machines
             .iter()
-            .filter(|(name, m)| !m.failed && !m.leaving && !self.draining(name))
+            .filter(|(name, m)| !m.failed && !m.leaving && !m.deaf && !self.draining(name))
             .filter_map(|(name, m)| Some((name.clone(), self.counted_cpus(m)?)))
             .collect();
         let mut lacks = vec![];
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -20,6 +20,8 @@
     pub failed: bool,
     /// The cloud has announced that it takes it.
     pub leaving: bool,
+    /// It reports, but does not hear its owner.
+    pub deaf: bool,
     /// Rented by this node, which has watched it boot since.
     pub(super) rented_here: bool,
     pub(super) last_listed: Option<Time>,
@@ -38,6 +40,7 @@
             up: false,
             failed: false,
             leaving: false,
+            deaf: false,
             rented_here: false,
             last_listed: None,
             idle_since: None,
@@ -165,7 +168,9 @@
         let mut up: BTreeSet<MachineId> = BTreeSet::new();
         let mut leaving: BTreeSet<MachineId> = BTreeSet::new();
         let mut faulty: BTreeSet<MachineId> = BTreeSet::new();
+        let mut deaf: BTreeSet<MachineId> = BTreeSet::new();
         for mine in self.mine.values() {
+            deaf.extend(mine.deaf.keys().cloned());
             for (name, machine) in &mine.machines {
                 up.insert(name.clone());
                 if machine.notice.is_some() {
@@ -187,6 +192,7 @@
             faulty.extend(note.faulty.iter().map(|n| MachineId::new(n)));
             for load in &note.parts {
                 up.extend(load.up.iter().map(|n| MachineId::new(n)));
+                deaf.extend(load.deaf.iter().map(|n| MachineId::new(n)));
                 leaving.extend(load.leaving.iter().map(|n| MachineId::new(n)));
             }
         }
@@ -197,6 +203,7 @@
             owned.up |= up.contains(name);
             owned.leaving |= leaving.contains(name);
             owned.failed |= faulty.contains(name);
+            owned.deaf = deaf.contains(name);
         }
     }
 
--- a/src/coordination/leading.rs
+++ b/src/coordination/leading.rs
@@ -83,7 +83,7 @@
         let mut parts: Vec<Vec<RoomAt>> = (0..self.parts).map(|_| vec![]).collect();
         for (name, m) in &self.cloud.machines {
             let Some(t) = self.catalog.get(&m.kind) else { continue };
-            if !m.up || m.leaving || self.draining(name) {
+            if !m.up || m.leaving || m.deaf || self.draining(name) {
                 continue;
             }
             let u = used.get(name).copied().unwrap_or_default();
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -350,6 +350,7 @@
                 })
                 .collect(),
             up: vec![],
+            deaf: mine.deaf.keys().map(|name| name.to_string()).collect(),
             leaving: mine.machines.iter().filter(|(_, m)| m.notice.is_some()).map(|(n, _)| n.to_string()).collect(),
         }
     }
@@ -376,7 +377,7 @@
         let quiet = self.timing.worker_lease;
         for load in &mut note.parts {
             let machines = self.mine.get(&PartId(load.part)).into_iter().flat_map(|m| &m.machines);
-            let heard = machines.filter(|(_, m)| self.now.since(m.last_report) < quiet);
+            let heard = machines.filter(|(_, m)| self.now.since(m.last_report) < quiet && !self.is_deaf(m));
             load.up = heard.map(|(name, _)| name.to_string()).collect();
         }
         self.told += 1;
--- a/src/coordination/mine.rs
+++ b/src/coordination/mine.rs
@@ -38,6 +38,7 @@
     /// Jobs whose tasks failed here since one last succeeded, and when last.
     pub failed_jobs: BTreeMap<JobRef, Time>,
     pub faulty: bool,
+    pub(super) hearing: super::hearing::Hearing,
     /// Takes nothing new until then: it failed several jobs of which it is not
     /// known yet whether they run elsewhere.
     pub rests_until: Time,
@@ -54,6 +55,11 @@
     /// About to be handed over: nothing new is started.
     pub releasing: bool,
     pub machines: BTreeMap<MachineId, Machine>,
+    /// Machines that report but do not hear, since when.
+    pub deaf: BTreeMap<MachineId, Time>,
+    /// The newest report of machines that were given up: nothing older brings
+    /// them back.
+    pub given_up: BTreeMap<MachineId, (Session, Seq)>,
     /// Tasks wanted on each machine.
     pub on: BTreeMap<MachineId, BTreeSet<TaskKey>>,
     /// Slices with changes to write, since when.
@@ -83,6 +89,8 @@
             ready: false,
             releasing: false,
             machines: BTreeMap::new(),
+            deaf: BTreeMap::new(),
+            given_up: BTreeMap::new(),
             on: BTreeMap::new(),
             dirty: BTreeMap::new(),
             inflight: None,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 mod failures;
 mod fleet;
 mod following;
+mod hearing;
 mod keeping;
 mod leading;
 mod learned;
@@ -384,6 +385,7 @@
     fn housekeeping(&mut self) {
         self.refresh_catalog();
         self.judge_machines();
+        self.judge_hearing();
         self.forget_errors();
         self.tend_notes();
         self.expire_machines();
--- a/src/coordination/returning.rs
+++ b/src/coordination/returning.rs
@@ -166,11 +166,15 @@
             return;
         }
         let Some(record) = &self.view.fleet.record else { return };
+        let lost_after = self.timing.worker_lease + self.timing.worker_lease;
         let mut names = vec![];
         for name in record.drain.iter().filter(|n| !record.gone.contains(n)) {
             let Some(owned) = self.cloud.machines.get_mut(name) else { continue };
             let since = *owned.drain_since.get_or_insert(self.now);
-            if self.now.since(since) >= Span(2000) && !busy.contains(name) {
+            // What is on a machine that failed should have been stopped long ago:
+            // it does not hear. Its return is the proof that nothing is left there.
+            let lost = owned.failed && self.now.since(since) >= lost_after;
+            if self.now.since(since) >= Span(2000) && (lost || !busy.contains(name)) {
                 names.push(name.clone());
             }
         }
--- a/src/coordination/seats.rs
+++ b/src/coordination/seats.rs
@@ -171,6 +171,7 @@
         for (name, machine) in &mine.machines {
             let Some(type_) = self.catalog.get(&machine.kind) else { continue };
             let usable = !machine.faulty
+                && !self.is_deaf(machine)
                 && machine.notice.is_none()
                 && self.now >= machine.rests_until
                 && self.now.since(machine.last_report) < quiet
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -1,11 +1,15 @@
 //! Workers' reports: what is on which machine, and what they are told.
 
+use super::hearing::Hearing;
 use super::mine::{Machine, TaskKey};
 use super::*;
 use crate::bookkeeping::records::TaskRecord;
 use crate::protocol::workers::{TaskName, TaskReport, TaskState, Why};
 use crate::units::{Attempt, Seq, Session};
 
+/// Machines remembered that were given up, by part.
+const MOST_GIVEN_UP: usize = 1000;
+
 /// The most commands of one answer; the next report fetches the rest.
 pub(super) const MOST_COMMANDS: usize = 200;
 
@@ -35,6 +39,12 @@
         let now = self.now;
         let Some(mine) = self.mine.get_mut(&part) else { return false };
         let token = mine.token;
+        let number = (report.session, report.seq);
+        let given_up = mine.given_up.get(&report.machine).copied();
+        if given_up.is_some_and(|last| number <= last) {
+            // A copy from before: the machine's lease was over since then.
+            return false;
+        }
         let machine = mine.machines.entry(report.machine.clone()).or_insert_with(|| Machine {
             addr: report.addr.clone(),
             kind: report.kind.clone(),
@@ -51,13 +61,20 @@
             images: vec![],
             failed_jobs: BTreeMap::new(),
             faulty: false,
+            hearing: Hearing::new(now, given_up.is_some()),
             rests_until: Time(0),
         });
-        // The answer we are about to give renews the worker's lease.
-        machine.last_report = now;
-        if (report.session, report.seq) <= (machine.session, machine.seq) {
+        // A copy renews nothing: the worker counts its lease from when it sent
+        // the report, which was before the newer one came.
+        let last = (machine.session, machine.seq);
+        if number <= last {
             return false;
         }
+        // The answer we are about to give renews the worker's lease.
+        machine.last_report = now;
+        let others = !self.peers.is_empty();
+        let hears = machine.hearing.reported(now, last, number, others, self.timing.worker_lease);
+        self.withdrawal.reported(now, &report.machine, hears);
         if report.session > machine.session {
             machine.listed.clear();
             machine.sent.clear();
@@ -130,7 +147,8 @@
         let Some(mine) = self.mine.get(&part) else { return };
         let Some(machine) = mine.machines.get(&report.machine) else { return };
         let listed = |key: &TaskKey, attempt: Attempt| machine.listed.get(key).is_some_and(|l| l.0 == attempt);
-        let usable = machine.notice.is_none() && !machine.faulty && !self.draining(&report.machine);
+        let usable =
+            machine.notice.is_none() && !machine.faulty && !self.is_deaf(machine) && !self.draining(&report.machine);
         let startable = usable && !mine.releasing && self.state_fresh();
         let (acked, sent) = (machine.acked, &machine.sent);
         let mut starts = vec![];
@@ -212,10 +230,15 @@
 
     /// Everything that was on the machine is gone for certain.
     pub(super) fn clear_machine(&mut self, part: PartId, name: &MachineId) {
+        let lost = !self.returned(name);
         let Some(mine) = self.mine.get_mut(&part) else { return };
         let keys: Vec<TaskKey> = mine.on.get(name).into_iter().flatten().cloned().collect();
         if let Some(machine) = mine.machines.remove(name) {
-            let lost = !self.returned(name);
+            mine.given_up.insert(name.clone(), (machine.session, machine.seq));
+            if mine.given_up.len() > MOST_GIVEN_UP {
+                // Names rise: the first is the oldest, more or less.
+                mine.given_up.pop_first();
+            }
             self.learned.machine_gone(&machine, self.now, lost);
         }
         for key in keys {
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -457,6 +457,8 @@
     /// What users were last told of jobs that were refused for good.
     pub final_no: BTreeMap<JobRef, u16>,
     copies: (u64, u64),
+    lost_starts: usize,
+    last_done: u64,
     /// Jobs whose users ask no more.
     given_up: BTreeSet<JobRef>,
     /// When the last trouble is over.
@@ -564,6 +566,8 @@
             refused: 0,
             final_no: BTreeMap::new(),
             copies: (0, 0),
+            lost_starts: 0,
+            last_done: 0,
             given_up: BTreeSet::new(),
             calm_from: 0,
             broken: vec![],
@@ -965,6 +969,7 @@
                 task.why = Some(Why::Done);
                 if let Some(job) = self.jobs.get_mut(&key.0) {
                     job.finished.insert(key.1);
+                    self.last_done = now;
                 }
             }
         }
@@ -1026,6 +1031,10 @@
             Some(Asked::User(job, what, tries, accepted)) => self.user_answered(job, what, tries, accepted, reply),
             Some(Asked::Worker(worker, flight)) => {
                 if self.now < self.workers[worker].deaf_until.max(self.nodes[node].mute_until) {
+                    if let Reply::Commands { commands, .. } = &reply {
+                        let starts = commands.iter().filter(|c| matches!(c, Command::Start { .. }));
+                        self.lost_starts += starts.count();
+                    }
                     return;
                 }
                 let zone = self.workers[worker].zone;
@@ -1373,6 +1382,21 @@
         }
     }
 
+    /// Machines that hear nothing and are paid for.
+    pub fn deaf(&self) -> usize {
+        self.workers.iter().filter(|w| w.alive && self.now < w.deaf_until).count()
+    }
+
+    /// Starts sent to machines that hear nothing.
+    pub fn lost_starts(&self) -> usize {
+        self.lost_starts
+    }
+
+    /// When the last task was done.
+    pub fn last_done(&self) -> u64 {
+        self.last_done
+    }
+
     /// A node is of the version before from the start.
     pub fn older(&mut self, node: usize) {
         self.nodes[node].older = true;
