--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -3,84 +3,19 @@
 
 mod loopback;
 
-use loopback::{call, free_port, serve, start, state_service, wait_for, Process, SECOND};
+use loopback::{call, cloud, free_port, start, state_service, wait_for, Process, SECOND};
 use serde_json::{json, Value};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tillercleat::transport::http::Client;
 
-/// A cloud that rents one machine, whose worker begins to report at once.
-fn cloud(nodes: Vec<SocketAddr>) -> SocketAddr {
-    let rented = AtomicBool::new(false);
-    serve(move |method, path, _| match (method, path) {
-        ("GET", "/catalog") => (
-            200,
-            json!({"hulls": [{"sku": "m", "cores": 4.0, "mem_gb": 8.0, "local_gb": 9.0, "fetch_gb_per_s": 1.0,
-                "hourly": 1.0, "ready_s": 1.0, "berths": ["a"], "new_field": 0}]}),
-        ),
-        ("POST", "/rentals") => {
-            if rented.swap(true, Ordering::SeqCst) {
-                return (503, json!({"error": "no capacity"}));
-            }
-            let nodes = nodes.clone();
-            std::thread::spawn(move || work(&nodes));
-            (200, json!({"decks": ["i-000001"]}))
-        }
-        ("GET", _) => (200, json!({"decks": [], "truncated": false})),
-        _ => (200, json!({})),
-    })
-}
-
-/// A worker whose tasks take a third of a second.
-fn work(nodes: &[SocketAddr]) {
-    let mut tasks: BTreeMap<String, (u64, Instant)> = BTreeMap::new();
-    let (mut token, mut at) = (0, 0);
-    let mut client = Client::new(nodes[0]);
-    for tally in 1u64.. {
-        std::thread::sleep(Duration::from_millis(100));
-        let loads: Vec<Value> = tasks
-            .iter()
-            .map(|(task, (attempt, began))| {
-                if began.elapsed() > SECOND / 3 {
-                    json!({"load": task, "cast": attempt, "trim": "ended", "cause": "done"})
-                } else {
-                    json!({"load": task, "cast": attempt, "trim": "running"})
-                }
-            })
-            .collect();
-        let report = json!({"deck": "i-000001", "endpoint": "127.0.0.1:1", "hull": "m", "berth": "a",
-            "driftwood": false, "watch": 1, "tally": tally, "helm": token, "recall_s": null, "loads": loads});
-        let answer = client.call("POST", "/hello", report.to_string().as_bytes(), SECOND);
-        let Ok((200, body)) = answer else {
-            at = (at + 1) % nodes.len();
-            client = Client::new(nodes[at]);
-            continue;
-        };
-        let body: Value = serde_json::from_slice(&body).expect("json");
-        token = body["helm"].as_u64().expect("a token").max(token);
-        for call in body["calls"].as_array().into_iter().flatten() {
-            let task = call["load"].as_str().expect("a task").to_string();
-            match call["call"].as_str() {
-                Some("start") => {
-                    tasks.entry(task).or_insert((call["cast"].as_u64().expect("an attempt"), Instant::now()));
-                }
-                _ => {
-                    tasks.remove(&task);
-                }
-            }
-        }
-    }
-}
-
 /// One controller's settings, with a state service and a cloud of their own.
 fn settings(client_addr: SocketAddr, fd_limit: usize) -> Value {
     json!({
         "label": "n0", "domain": "a", "client_listen": client_addr.to_string(),
         "internal_addr": free_port().to_string(), "known": [],
-        "external": {"cloud": cloud(vec![client_addr]).to_string(), "state": state_service().to_string()},
+        "external": {"cloud": cloud(vec![client_addr], 1).to_string(), "state": state_service().to_string()},
         "cluster": {"teams": [{"name": "red"}],
             "workers": {"report_s": 0.2, "lease_s": 3.0, "cancel_s": 12.0},
             "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 8.0, "txn_ops": 12},
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -8,8 +8,10 @@
 
 use serde_json::{json, Value};
 use standin::StateService;
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tillercleat::protocol::state::{StateAnswer, StateCall, Txn};
@@ -114,6 +116,71 @@
     })
 }
 
+/// A cloud that rents so many machines, whose workers begin to report at once.
+pub fn cloud(nodes: Vec<SocketAddr>, machines: usize) -> SocketAddr {
+    let rented = AtomicUsize::new(0);
+    serve(move |method, path, _| match (method, path) {
+        ("GET", "/catalog") => (
+            200,
+            json!({"hulls": [{"sku": "m", "cores": 4.0, "mem_gb": 8.0, "local_gb": 9.0, "fetch_gb_per_s": 1.0,
+                "hourly": 1.0, "ready_s": 1.0, "berths": ["a"], "new_field": 0}]}),
+        ),
+        ("POST", "/rentals") => {
+            let number = rented.fetch_add(1, Ordering::SeqCst);
+            if number >= machines {
+                return (503, json!({"error": "no capacity"}));
+            }
+            let (nodes, name) = (nodes.clone(), format!("i-{number:06}"));
+            let decks = json!({ "decks": [name] });
+            std::thread::spawn(move || work(&nodes, &name));
+            (200, decks)
+        }
+        ("GET", _) => (200, json!({"decks": [], "truncated": false})),
+        _ => (200, json!({})),
+    })
+}
+
+/// A worker whose tasks take a third of a second.
+fn work(nodes: &[SocketAddr], name: &str) {
+    let mut tasks: BTreeMap<String, (u64, Instant)> = BTreeMap::new();
+    let (mut token, mut at) = (0, 0);
+    let mut client = Client::new(nodes[0]);
+    for tally in 1u64.. {
+        std::thread::sleep(Duration::from_millis(100));
+        let loads: Vec<Value> = tasks
+            .iter()
+            .map(|(task, (attempt, began))| {
+                if began.elapsed() > SECOND / 3 {
+                    json!({"load": task, "cast": attempt, "trim": "ended", "cause": "done"})
+                } else {
+                    json!({"load": task, "cast": attempt, "trim": "running"})
+                }
+            })
+            .collect();
+        let report = json!({"deck": name, "endpoint": "127.0.0.1:1", "hull": "m", "berth": "a",
+            "driftwood": false, "watch": 1, "tally": tally, "helm": token, "recall_s": null, "loads": loads});
+        let answer = client.call("POST", "/hello", report.to_string().as_bytes(), SECOND);
+        let Ok((200, body)) = answer else {
+            at = (at + 1) % nodes.len();
+            client = Client::new(nodes[at]);
+            continue;
+        };
+        let body: Value = serde_json::from_slice(&body).expect("json");
+        token = body["helm"].as_u64().expect("a token").max(token);
+        for call in body["calls"].as_array().into_iter().flatten() {
+            let task = call["load"].as_str().expect("a task").to_string();
+            match call["call"].as_str() {
+                Some("start") => {
+                    tasks.entry(task).or_insert((call["cast"].as_u64().expect("an attempt"), Instant::now()));
+                }
+                _ => {
+                    tasks.remove(&task);
+                }
+            }
+        }
+    }
+}
+
 pub struct Process(pub Child);
 
 impl Drop for Process {
@@ -124,8 +191,18 @@
 }
 
 pub fn start(config: &std::path::Path, options: &[(&str, &std::path::Path)]) -> Process {
+    let program = option_env!("CARGO_BIN_EXE_tillercleat").unwrap_or("target/release/tillercleat");
+    start_program(std::path::Path::new(program), config, options)
+}
+
+/// The same with any version's program.
+pub fn start_program(
+    program: &std::path::Path,
+    config: &std::path::Path,
+    options: &[(&str, &std::path::Path)],
+) -> Process {
     let options = options.iter().flat_map(|(name, file)| [name.as_ref(), file.as_os_str()]);
-    let child = Command::new(option_env!("CARGO_BIN_EXE_tillercleat").unwrap_or("target/release/tillercleat"))
+    let child = Command::new(program)
         .arg("run")
         .args(options)
         .arg("--config")
