A job that may start is let by any node after 3 s; one that is not written delays no other

Whoever should let a job start may be held up, and a transaction that fails again and again held up the next ones in order. Now the other ones go first, and after 3 s any node that knows of chains may do it.

--- a/src/coordination/chains.rs
+++ b/src/coordination/chains.rs
@@ -212,6 +212,11 @@
         std::mem::take(&mut self.pressed)
     }
 
+    /// True if a waiting job may start.
+    pub fn is_ready(&self, id: &JobRef) -> bool {
+        self.ready.contains(id)
+    }
+
     /// Waiting jobs that may start.
     pub fn ready(&self) -> impl Iterator<Item = &JobRef> {
         self.ready.iter()
--- a/src/coordination/following.rs
+++ b/src/coordination/following.rs
@@ -14,6 +14,10 @@
 use crate::bookkeeping::urge::Urge;
 use crate::protocol::users::JobKind;
 
+/// How long a job that may start waits for whoever should let it: then any node
+/// that knows of chains does.
+const KEEPER_MAY_TAKE: Span = Span(3000);
+
 /// Waiting jobs changed in one transaction at the most.
 const MOST_AT_ONCE: usize = 8;
 
@@ -42,12 +46,16 @@
     past: bool,
 }
 
-/// What is kept of look-ups.
+/// What is kept of look-ups and of jobs let start.
 #[derive(Debug, Default)]
-pub(super) struct LookUps {
+pub(super) struct Tending {
     asking: bool,
     last: Option<JobRef>,
     next: Time,
+    /// Since when jobs may start that have not been let, as seen here.
+    ready_since: BTreeMap<JobRef, Time>,
+    /// Those that the last transaction was to let start.
+    released: BTreeSet<JobRef>,
 }
 
 impl Core {
@@ -116,7 +124,17 @@
             ready: Some(wall_ms.max(record.at)),
             ..record.clone()
         };
-        let ready = self.ours_of(self.chains.ready());
+        let (now, tried) = (self.now, std::mem::take(&mut self.tending.released));
+        let overdue = |since: &Time| now.since(*since) > KEEPER_MAY_TAKE;
+        let ready = self.chains.ready().map(|id| (id, self.tending.ready_since.get(id).is_some_and(overdue)));
+        // One whose record will not be written must not keep others from theirs.
+        let (first, again): (Vec<_>, Vec<_>) = ready.partition(|(id, _)| !tried.contains(*id));
+        let ready = self.ours_of(first.into_iter().chain(again));
+        self.tending.ready_since.retain(|id, _| self.chains.is_ready(id));
+        for id in self.chains.ready() {
+            self.tending.ready_since.entry(id.clone()).or_insert(now);
+        }
+        self.tending.released = ready.iter().cloned().collect();
         self.rewrite_waiting(ready, may_start);
     }
 
@@ -132,15 +150,15 @@
             awaits: Awaits::default(),
             ..record.clone()
         };
-        let cancelled = self.ours_of(self.chains.cancelled());
+        let cancelled = self.ours_of(self.chains.cancelled().map(|id| (id, false)));
         self.rewrite_waiting(cancelled, end);
     }
 
-    /// Of these jobs, some that this node may change now.
-    fn ours_of<'a>(&self, jobs: impl Iterator<Item = &'a JobRef>) -> Vec<JobRef> {
+    /// Of these jobs, some that this node may change now; with each, whether any may.
+    fn ours_of<'a>(&self, jobs: impl Iterator<Item = (&'a JobRef, bool)>) -> Vec<JobRef> {
         let most = MOST_AT_ONCE.min(self.settings.cluster.state.txn_ops);
-        let mine = jobs.filter(|id| !self.busy_keys.contains(&job_key(id)) && self.keeps_chain(id));
-        mine.take(most).cloned().collect()
+        let mine = jobs.filter(|(id, any)| !self.busy_keys.contains(&job_key(id)) && (*any || self.keeps_chain(id)));
+        mine.take(most).map(|(id, _)| id.clone()).collect()
     }
 
     fn rewrite_waiting(&mut self, jobs: Vec<JobRef>, to: impl Fn(&Core, &JobRecord) -> JobRecord) {
@@ -158,19 +176,20 @@
 
     /// Looks up jobs that waiting ones name and that were put away.
     pub(super) fn look_up_unknown(&mut self) {
-        if !self.loaded || self.look_ups.asking || self.now < self.look_ups.next || self.now < self.retry_state_at {
+        if !self.loaded || self.tending.asking || self.now < self.tending.next || self.now < self.retry_state_at {
             return;
         }
-        let Some(id) = self.chains.unknown_after(self.look_ups.last.as_ref()).cloned() else { return };
-        self.look_ups = LookUps { asking: true, last: Some(id.clone()), next: self.now };
+        let Some(id) = self.chains.unknown_after(self.tending.last.as_ref()).cloned() else { return };
+        self.tending.asking = true;
+        self.tending.last = Some(id.clone());
         self.reads.force(self.now, 1.0);
         self.call_state(StateCall::Get { key: past_key(&id) }, Pending::LookUp(id));
     }
 
     pub(super) fn looked_up(&mut self, id: JobRef, answer: StateAnswer) {
-        self.look_ups.asking = false;
+        self.tending.asking = false;
         let Some(record) = self.take_past(&id, answer) else {
-            self.look_ups.next = self.now + LOOK_AGAIN;
+            self.tending.next = self.now + LOOK_AGAIN;
             return;
         };
         self.chains.ended(&id, record.end);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -239,7 +239,7 @@
     chains: chains::Chains,
     /// A waiting job may start: that must not wait for the next housekeeping.
     chains_soon: bool,
-    look_ups: following::LookUps,
+    tending: following::Tending,
     announced: upgrade::Announced,
     withdrawal: withdrawing::Withdrawal,
     start: starting::Start,
@@ -306,7 +306,7 @@
             queries: Queries::default(),
             chains: chains::Chains::default(),
             chains_soon: false,
-            look_ups: following::LookUps::default(),
+            tending: following::Tending::default(),
             announced: upgrade::Announced::default(),
             withdrawal: withdrawing::Withdrawal::default(),
             start: starting::Start::default(),
