--- a/src/coordination/chains.rs
+++ b/src/coordination/chains.rs
@@ -202,16 +202,6 @@
         self.needed.contains_key(id)
     }
 
-    /// Jobs that wait for this one.
-    pub fn followers(&self, id: &JobRef) -> impl Iterator<Item = &JobRef> {
-        self.needed.get(id).into_iter().flat_map(|needed| &needed.by)
-    }
-
-    /// Jobs that this one still waits for; none if it never may start.
-    pub fn left(&self, id: &JobRef) -> impl Iterator<Item = &JobRef> {
-        self.followers.get(id).into_iter().flat_map(|f| &f.left)
-    }
-
     /// How urgent a job is for the sake of those that need it, if any do.
     pub fn urge(&self, id: &JobRef) -> Option<Urge> {
         self.needed.get(id)?.urge
--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -12,9 +12,6 @@
 /// Tasks that one core is expected to run one after the other at the most.
 const MOST_WAVES: f64 = 4.0;
 
-/// Waiting jobs looked at to see whether they may start soon.
-const MOST_NEXT: usize = 256;
-
 /// Room kept for the ups of the usual load.
 const USUAL_HEADROOM: f64 = 1.1;
 
@@ -57,8 +54,7 @@
         let boot = self.catalog.values().map(|t| usual_s(t).clamp(t.boot_s, 4.0 * t.boot_s)).fold(0.0, f64::max);
         let ahead = boot + 10.0;
         let mut groups: BTreeMap<Constraints, Demand> = BTreeMap::new();
-        let next = self.next_steps();
-        for id in self.view.active.iter().chain(&next) {
+        for id in &self.view.active {
             let Some(job) = self.view.jobs.get(id).filter(|j| j.holds_machines()) else { continue };
             let spec = &job.record.spec;
             let (done, on) = job.counts();
@@ -133,21 +129,6 @@
         demand
     }
 
-    /// Waiting jobs that may start soon: all that they wait for runs, with no
-    /// task left to start. Their machines boot meanwhile.
-    fn next_steps(&self) -> BTreeSet<JobRef> {
-        let ending = |id: &JobRef| {
-            let job = self.view.jobs.get(id).filter(|job| !job.record.waits());
-            job.is_some_and(|job| {
-                let (done, on) = job.counts();
-                done + on >= job.record.spec.tasks
-            })
-        };
-        let needed = self.view.active.iter().filter(|id| self.chains.is_needed(id) && ending(id));
-        let followers = needed.flat_map(|id| self.chains.followers(id)).take(MOST_NEXT);
-        followers.filter(|id| self.chains.left(id).all(ending)).cloned().collect()
-    }
-
     /// True if a job with so much time left could not wait for a machine to
     /// come free and still be in time.
     pub(super) fn pressing(&self, job: &Job, left: f64, ahead: f64) -> bool {
