--- a/src/coordination/following.rs
+++ b/src/coordination/following.rs
@@ -330,3 +330,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::state::Item;
+
+    /// A node that has just read the records, in which a job waits for one that
+    /// was put away, would call it queued though another node called it
+    /// cancelled before.
+    #[test]
+    fn what_waits_behind_an_unknown_job_is_not_told_before_it_is_known() {
+        let mut core = super::super::tests::core();
+        let record = serde_json::json!({
+            "spec": {"ref": "wk-000002", "haul": "c", "crew": "t", "rig": "array", "rank": "normal", "loads": 1,
+                "cores": 1.0, "mem_gb": 1.0, "kit": "i", "image_gb": 1.0, "reckon_s": 1.0},
+            "at": 0, "plan": {"size": 1, "parts": []}, "awaits": "000001"
+        });
+        let (first, second) = (JobRef::new("wk-000001"), JobRef::new("wk-000002"));
+        let changed = core.view.apply("t/j/wk-000002", Some(record), Revision(5));
+        core.changed(changed);
+        let told = |core: &mut Core| {
+            core.answer_job(RequestId(1), 200, &second, None);
+            match core.out.pop() {
+                Some(Output::Reply(_, Reply::Job { state, .. })) => Some(state),
+                _ => None,
+            }
+        };
+        assert_eq!(told(&mut core), None);
+        let value = serde_json::json!({"end": "cancelled", "tasks": 1});
+        let item = Item { key: "f/wk-000001".into(), value, version: Revision(3) };
+        core.looked_up(first, StateAnswer::Found(item));
+        assert_eq!(told(&mut core), Some(crate::protocol::users::JobState::Cancelled));
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -412,7 +412,7 @@
 mod tests {
     use super::*;
 
-    fn core() -> Core {
+    pub(in crate::coordination) fn core() -> Core {
         let settings = serde_json::json!({
             "label": "n0", "client_listen": "127.0.0.1:1", "internal_addr": "127.0.0.1:2",
             "known": [{"label": "n1", "address": "127.0.0.1:3"}],
--- a/tests/chains.rs
+++ b/tests/chains.rs
@@ -160,6 +160,22 @@
     }
 }
 
+/// A job that ended long ago is kept in sight while another that waits names it:
+/// each node that starts would have to look it up.
+#[test]
+fn a_job_that_is_named_is_not_put_away() {
+    let mut world = World::new(15, 10.0);
+    world.submit(4000, job(1, 1, 2.0, "normal", &[]));
+    world.submit(4000, job(2, 1, 700.0, "normal", &[]));
+    world.submit(4000, job(3, 1, 2.0, "normal", &[]));
+    world.submit(8000, job(4, 1, 2.0, "normal", &[1, 2]));
+    world.run(600_000);
+    assert_eq!((world.keys("t/j/wk-000001"), world.keys("f/wk-000003")), (1, 1));
+    world.run(1_500_000);
+    assert_eq!(world.problems(), [""; 0]);
+    assert_eq!(world.keys("t/j/wk-000001"), 0);
+}
+
 /// What is no list of ids, or names what was never accepted or never ends.
 #[test]
 fn names_are_checked_at_the_door() {
