Machines returned of late are no room, however many; the fleet's record holds more names

Cause: with values of 2 KiB the record of a fleet remembers 19 returned machines, and the leader no more than that. A fleet that shrinks returns more within the time by which lists lag, so machines that were gone came back as room: work was dealt to them, and nothing was rented for it. Now the leader remembers all of them for as long as lists may lag, and the record holds as many names as fit by their length.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -68,6 +68,9 @@
     pub(super) returned: HashSet<MachineId, FixedState>,
     /// Returned for certain, but perhaps not in the record yet.
     pub(super) gone: BTreeSet<MachineId>,
+    /// All that were returned of late, and when: lists that lag still name them,
+    /// and the record has no room for as many as a shrinking fleet returns.
+    left: BTreeMap<MachineId, Time>,
 }
 
 impl Fleet {
@@ -86,6 +89,11 @@
         self.cloud.drained.contains(name) || self.cloud.returned.contains(name)
     }
 
+    /// True if the machine was returned of late, whoever still names it.
+    fn has_left(&self, name: &MachineId) -> bool {
+        self.cloud.gone.contains(name) || self.cloud.left.contains_key(name)
+    }
+
     /// True if the return of the machine was confirmed.
     pub(super) fn returned(&self, name: &MachineId) -> bool {
         self.cloud.returned.contains(name)
@@ -181,7 +189,7 @@
                 }
             }
             for (name, machine) in &mine.machines {
-                if !self.cloud.machines.contains_key(name) && !self.cloud.gone.contains(name) {
+                if !self.cloud.machines.contains_key(name) && !self.has_left(name) {
                     let found = Owned::new(&machine.kind, &machine.zone, machine.spot, machine.born);
                     let owned = Owned { up: true, ..found };
                     self.cloud.machines.insert(name.clone(), owned);
@@ -242,6 +250,7 @@
                 if matches!(answer, CloudAnswer::Returned) {
                     for name in names {
                         self.cloud.machines.remove(&name);
+                        self.cloud.left.insert(name.clone(), self.now);
                         self.cloud.gone.insert(name);
                     }
                     self.write_fleet();
@@ -264,7 +273,7 @@
         self.cloud.listing = false;
         self.cloud.known = true;
         for listed in seen {
-            if self.cloud.gone.contains(&listed.machine) || self.returned(&listed.machine) {
+            if self.has_left(&listed.machine) || self.returned(&listed.machine) {
                 continue;
             }
             let owned = Owned::new(&listed.kind, &listed.zone, listed.spot, self.now - Span::secs(listed.age_s));
@@ -278,5 +287,40 @@
         let patience = Span::secs(self.settings.cluster.cloud.list_lag_s * 2.5 + 5.0);
         let now = self.now;
         self.cloud.machines.retain(|_, m| now.since(m.last_listed.unwrap_or(m.born)) < patience);
+        self.cloud.left.retain(|_, at| now.since(*at) < patience);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A fleet that shrank returned more machines than the record has room for;
+    /// the list, which lags, named them still, and they counted as room again.
+    #[test]
+    fn a_list_that_lags_brings_no_returned_machine_back() {
+        let mut core = super::super::tests::core();
+        core.handle(Time(1000), 0, Input::Tick);
+        let names: Vec<MachineId> = (0..400).map(|n| MachineId::new(&format!("i-{n:06}"))).collect();
+        for some in names.chunks(50) {
+            let call = core.new_call(Pending::Return(some.to_vec()));
+            core.cloud_answer(call, CloudAnswer::Returned);
+            core.write_fleet();
+            while core.cloud.gone.len() > 10 {
+                core.cloud.gone.pop_first();
+            }
+        }
+        let listed = |machine: &MachineId| Listed {
+            machine: machine.clone(),
+            kind: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            state: ListedState::Running,
+            age_s: 90.0,
+        };
+        let machines = names.iter().map(listed).collect();
+        let page = CloudAnswer::Page(crate::protocol::cloud::MachinePage { machines, more: false });
+        core.list_answer(vec![], page);
+        assert_eq!(core.cloud.machines.len(), 0);
     }
 }
--- a/src/coordination/returning.rs
+++ b/src/coordination/returning.rs
@@ -19,11 +19,10 @@
 }
 
 impl Names {
-    /// What a value of `value_kb` KiB holds: of a large fleet not all.
-    fn within(value_kb: f64) -> Names {
-        /// Bytes of a name with quotes and comma, with room to spare.
-        const NAME_BYTES: f64 = 24.0;
-        let all = (value_kb * 1024.0 * 0.9 / NAME_BYTES) as usize;
+    /// What a value of `value_kb` KiB holds of names so long: of a large fleet not all.
+    fn within(value_kb: f64, longest: usize) -> Names {
+        // With quotes and comma.
+        let all = (value_kb * 1024.0 * 0.9 / (longest + 3) as f64) as usize;
         let gone = (all / 4).max(1);
         Names { drain: all.saturating_sub(gone).max(1), gone }
     }
@@ -111,9 +110,19 @@
         self.write_fleet();
     }
 
+    /// How many names the fleet's record may hold, as long as names are here.
+    fn names_in_record(&self) -> Names {
+        /// Of a name, before any is known.
+        const USUAL: usize = 12;
+        let record = self.view.fleet.record.iter().flat_map(|r| r.drain.iter().chain(&r.gone));
+        let names = record.chain(self.cloud.machines.keys()).chain(&self.cloud.gone);
+        let longest = names.map(|name| name.as_str().len()).max().unwrap_or(0).max(USUAL);
+        Names::within(self.settings.cluster.state.value_kb, longest)
+    }
+
     /// The record as it fits into one value, whatever was written before.
     pub(super) fn fitted_fleet(&self, mut record: FleetRecord) -> FleetRecord {
-        let most = Names::within(self.settings.cluster.state.value_kb);
+        let most = self.names_in_record();
         record.drain.truncate(most.drain);
         most.keep_newest(&mut record.gone);
         record
@@ -128,7 +137,7 @@
         let mut record = self.fitted_fleet(before.clone());
         // Of a large fleet only so many fit into one record; the rest are
         // named when these are gone.
-        let most = Names::within(self.settings.cluster.state.value_kb);
+        let most = self.names_in_record();
         for (name, owned) in &self.cloud.machines {
             if record.drain.len() >= most.drain {
                 break;
@@ -179,7 +188,7 @@
             }
         }
         // Owners learn from the record which are gone: no more than it holds.
-        names.truncate(RETURN_LIMIT.min(Names::within(self.settings.cluster.state.value_kb).gone));
+        names.truncate(RETURN_LIMIT.min(self.names_in_record().gone));
         if !names.is_empty() && self.afford_cloud() {
             self.cloud.returning = true;
             self.call_cloud(CloudCall::Return(names.clone()), Pending::Return(names));
