--- a/tools/read_report.py
+++ b/tools/read_report.py
@@ -20,6 +20,8 @@
 
 MOST_CPU_S = 400.0
 LEAST_SHARE = 0.5
+# The largest jobs must begin within this time; reports tell waits by class only.
+LARGEST_BEGIN_S = 240.0
 
 
 def limits_of(site):
@@ -62,6 +64,10 @@
         lines.append(f"  {share:5.2f}  {what} (of {of})")
         if share < LEAST_SHARE:
             wrong.append(f"{what}: {share:.2f}")
+    for name, jobs in report.get("classes", {}).items():
+        longest = jobs.get("wait_s", {}).get("max", 0.0)
+        if longest > LARGEST_BEGIN_S:
+            lines.append(f"  class {name}: the longest wait is {longest:.0f} s; the largest jobs must begin in {LARGEST_BEGIN_S:.0f} s")
     broken = report.get("rules_broken", {})
     if broken.get("total", 0):
         wrong.append(f"rules broken: {broken.get('by_kind')}")
