--- a/tools/read_report.py
+++ b/tools/read_report.py
@@ -65,7 +65,7 @@
         if share < LEAST_SHARE:
             wrong.append(f"{what}: {share:.2f}")
     for name, jobs in report.get("classes", {}).items():
-        longest = jobs.get("wait_s", {}).get("max", 0.0)
+        longest = jobs.get("wait_s", {}).get("max") or 0.0
         if longest > LARGEST_BEGIN_S:
             lines.append(f"  class {name}: the longest wait is {longest:.0f} s; the largest jobs must begin in {LARGEST_BEGIN_S:.0f} s")
     broken = report.get("rules_broken", {})
