What a dependent lent to a chain ends for all before it; the index against a model

Cause: when the only job that needs a waiting one was withdrawn, the steps before that one kept its priority and deadline. Change: what ends is passed on to those before. Found by a generated test of the index, which was missing: it compares readiness, cancellation and urgency after every change with a model worked out anew, and fails without the mend (inherited Normal where Low is right).

--- a/src/coordination/chains.rs
+++ b/src/coordination/chains.rs
@@ -126,6 +126,7 @@
         let Some(follower) = self.followers.remove(id) else { return };
         self.ready.remove(id);
         self.cancelled.remove(id);
+        let mut changed = follower.names.clone();
         for name in &follower.names {
             let Some(needed) = self.needed.get_mut(name) else { continue };
             needed.by.remove(id);
@@ -133,9 +134,11 @@
                 self.needed.remove(name);
                 self.unknown.remove(name);
                 self.pressed.insert(name.clone());
+                // What it lent to those before it ends as well.
+                changed.extend(self.followers.get(name).into_iter().flat_map(|f| f.names.iter().cloned()));
             }
         }
-        self.press(follower.names);
+        self.press(changed);
     }
 
     /// Cancels a waiting job and all that follow it.
@@ -234,3 +237,83 @@
         last.and_then(after).or_else(|| self.unknown.first())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::users::Priority;
+    use proptest::prelude::*;
+
+    const JOBS: usize = 10;
+
+    fn id(n: usize) -> JobRef {
+        JobRef::new(&format!("wk-{n}"))
+    }
+
+    fn own(n: usize) -> Urge {
+        let priority = [Priority::Low, Priority::Normal, Priority::High][n % 3];
+        Urge { priority, due_ms: (n % 2 == 1).then_some(1000 * n as u64) }
+    }
+
+    /// What must be true of ten jobs, worked out anew.
+    #[derive(Default)]
+    struct Model {
+        names: [Vec<usize>; JOBS],
+        waits: [bool; JOBS],
+        end: [Option<End>; JOBS],
+    }
+
+    impl Model {
+        fn cancelled(&self, n: usize) -> bool {
+            self.end[n] == Some(End::Cancelled) || self.waits[n] && self.names[n].iter().any(|p| self.cancelled(*p))
+        }
+        fn ready(&self, n: usize) -> bool {
+            self.waits[n] && self.names[n].iter().all(|p| self.end[*p] == Some(End::Done))
+        }
+        fn urge(&self, n: usize) -> Option<Urge> {
+            let followers = (0..JOBS).filter(|f| self.waits[*f] && !self.cancelled(*f) && self.names[*f].contains(&n));
+            let all = |f: usize| self.urge(f).map_or(own(f), |urge| urge.join(own(f))).before(10 * f as u64);
+            followers.map(all).reduce(Urge::join)
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(61), failure_persistence: None, ..Default::default() })]
+        /// An index that lags would start a job too early, never, or in the wrong order.
+        #[test]
+        fn the_index_follows_every_change(
+            masks in proptest::collection::vec(0usize..1024, JOBS),
+            steps in proptest::collection::vec((0usize..JOBS, any::<bool>()), 1..60),
+        ) {
+            let (mut chains, mut model, mut came) = (Chains::default(), Model::default(), 0);
+            for (n, done) in steps {
+                if n >= came {
+                    let names: Vec<usize> = (0..came).filter(|p| masks[came] >> p & 1 == 1).collect();
+                    if !names.is_empty() {
+                        let refs: Vec<JobRef> = names.iter().map(|p| id(*p)).collect();
+                        let known = |name: &JobRef| {
+                            let at = (0..came).find(|p| id(*p) == *name).expect("a job that came");
+                            model.end[at].map_or(Known::Open, Known::Ended)
+                        };
+                        chains.add(&id(came), &refs, own(came), 10 * came as u64, known);
+                        (model.names[came], model.waits[came]) = (names, true);
+                    }
+                    came += 1;
+                } else if model.ready(n) {
+                    model.waits[n] = false;
+                    chains.gone(&id(n));
+                } else if model.end[n].is_none() && (!done || !model.waits[n]) {
+                    let end = if done { End::Done } else { End::Cancelled };
+                    (model.end[n], model.waits[n]) = (Some(end), false);
+                    chains.ended(&id(n), end);
+                    chains.gone(&id(n));
+                }
+                for n in 0..came {
+                    prop_assert_eq!(chains.is_cancelled(&id(n)), model.waits[n] && model.cancelled(n));
+                    prop_assert_eq!(chains.is_ready(&id(n)), model.ready(n));
+                    prop_assert_eq!(chains.urge(&id(n)), model.urge(n));
+                }
+            }
+        }
+    }
+}
