Look-ups of jobs put away read their record in one place; the index is the core's own

Cause: the reading of a record under f/, with its errors, stood twice. Change: past.rs reads it for both; chains is private to the core.

--- a/src/coordination/following.rs
+++ b/src/coordination/following.rs
@@ -10,7 +10,7 @@
 
 use super::chains::Known;
 use super::*;
-use crate::bookkeeping::records::{job_key, past_key, Awaits, End, JobRecord, PastRecord, Plan};
+use crate::bookkeeping::records::{job_key, past_key, Awaits, End, JobRecord, Plan};
 use crate::bookkeeping::urge::Urge;
 use crate::protocol::users::JobKind;
 
@@ -34,8 +34,8 @@
 /// A submission whose names are being looked up.
 #[derive(Debug)]
 pub(super) struct Names {
-    pub request: RequestId,
-    pub spec: Box<JobSpec>,
+    request: RequestId,
+    spec: Box<JobSpec>,
     /// Names looked at and not known to be done, and those still to be looked at.
     checked: Vec<JobRef>,
     to_check: Vec<JobRef>,
@@ -196,21 +196,6 @@
         self.chains_soon = true;
     }
 
-    /// Takes the record of a job that was put away, if that is what came.
-    fn take_past(&mut self, id: &JobRef, answer: StateAnswer) -> Option<PastRecord> {
-        let StateAnswer::Found(item) = answer else { return None };
-        match serde_json::from_value::<PastRecord>(item.value) {
-            Ok(record) => {
-                self.view.remember_past(id, record);
-                Some(record)
-            }
-            Err(error) => {
-                tracing::error!("record {} makes no sense: {error}", item.key);
-                None
-            }
-        }
-    }
-
     /// A submission that names others: they are looked at one by one.
     pub(super) fn submit_after(&mut self, request: RequestId, spec: Box<JobSpec>) {
         if !self.chains_on() {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,7 +8,7 @@
 mod buying;
 mod calls;
 mod catalog;
-pub mod chains;
+mod chains;
 mod demand;
 mod failures;
 mod fleet;
--- a/src/coordination/past.rs
+++ b/src/coordination/past.rs
@@ -57,20 +57,29 @@
 
     pub(super) fn past_answer(&mut self, request: RequestId, job: JobRef, known: bool, answer: StateAnswer) {
         let reply = match answer {
-            StateAnswer::Found(item) => match serde_json::from_value::<PastRecord>(item.value) {
-                Ok(record) => {
-                    self.view.remember_past(&job, record);
-                    return self.answer_job(request, 200, &job, None);
-                }
-                Err(error) => {
-                    tracing::error!("record {} makes no sense: {error}", item.key);
-                    Reply::later("the job cannot be read")
-                }
-            },
             // A submission whose outcome was unknown was not carried out.
             StateAnswer::Missing(_) if !known => Reply::problem(404, "no such job"),
+            StateAnswer::Found(_) => match self.take_past(&job, answer) {
+                Some(_) => return self.answer_job(request, 200, &job, None),
+                None => Reply::later("the job cannot be read"),
+            },
             _ => Reply::later("the state service does not answer"),
         };
         self.reply(request, reply);
     }
+
+    /// Takes the record of a job that was put away, if that is what came.
+    pub(super) fn take_past(&mut self, id: &JobRef, answer: StateAnswer) -> Option<PastRecord> {
+        let StateAnswer::Found(item) = answer else { return None };
+        match serde_json::from_value::<PastRecord>(item.value) {
+            Ok(record) => {
+                self.view.remember_past(id, record);
+                Some(record)
+            }
+            Err(error) => {
+                tracing::error!("record {} makes no sense: {error}", item.key);
+                None
+            }
+        }
+    }
 }
