--- a/tests/forgotten.rs
+++ b/tests/forgotten.rs
@@ -44,7 +44,7 @@
         3 => (1usize..5, long()).prop_map(|(each, for_ms)| vec![Fault::Deaf { each, for_ms }]),
         2 => (node.clone(), long()).prop_map(|(node, for_ms)| vec![Fault::Mute { node, for_ms }]),
         2 => (10_000u64..60_000, prop_oneof![500u64..5000, 8000u64..30_000])
-            .prop_map(|(for_ms, late)| vec![Fault::Copies { for_ms, late }]),
+            .prop_map(|(for_ms, late)| vec![Fault::Copies { share: 100, for_ms, late }]),
         2 => (node.clone(), 1usize..3, long()).prop_map(|(first, count, for_ms)| {
             (0..count).map(|n| Fault::Alone { node: (first + n) % 3, for_ms: for_ms + 700 * n as u64 }).collect()
         }),
@@ -130,7 +130,7 @@
         let mut world = World::new(9, 10.0);
         work(&mut world, 1500, 36_000, 8);
         if copies {
-            world.fault(20_000, Fault::Copies { for_ms: 100_000, late: 45_000 });
+            world.fault(20_000, Fault::Copies { share: 100, for_ms: 100_000, late: 45_000 });
         }
         for pick in 0..6 {
             world.fault(40_000 + pick * 10, Fault::MachineDies { pick: 3 * pick as usize });
@@ -149,7 +149,7 @@
     let mut world = World::sized(11, Shape::fleet(7, 3, 1130));
     work(&mut world, 120, 70_000, 60);
     world.fault(20_000, Fault::Deaf { each: 3, for_ms: 30_000 });
-    world.fault(25_000, Fault::Copies { for_ms: 50_000, late: 40_000 });
+    world.fault(25_000, Fault::Copies { share: 100, for_ms: 50_000, late: 40_000 });
     world.fault(30_000, Fault::Mute { node: 2, for_ms: 25_000 });
     for node in [4, 5] {
         world.fault(45_000, Fault::Alone { node, for_ms: 40_000 });
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -144,6 +144,9 @@
 /// Within what time of its submission one of a class's largest jobs must begin.
 const LARGEST_BEGIN: u64 = 240_000;
 
+/// How long controllers wait for an answer of the state service.
+const STATE_PATIENCE: u64 = 1500;
+
 /// How long after all troubles a job may be without any answer about it.
 const FORGOTTEN: u64 = 75_000;
 
@@ -207,11 +210,29 @@
         node: usize,
         for_ms: u64,
     },
-    /// Reports arrive once more, so much later, at any node.
+    /// This share of reports, in percent, arrives once more, up to so much later, at any node.
     Copies {
+        share: u64,
         for_ms: u64,
         late: u64,
     },
+    /// This share of transactions, in percent, gets no answer and is carried out
+    /// 2 to 12 s later, after newer ones.
+    LateWrites {
+        share: u64,
+        for_ms: u64,
+    },
+    /// The state service carries out and answers each call up to so much later.
+    SlowState {
+        for_ms: u64,
+        most: u64,
+    },
+    /// Answers to every so many machines are held up, each for up to so long.
+    HeldAnswers {
+        each: usize,
+        for_ms: u64,
+        most: u64,
+    },
     /// A node loses the state service and the other nodes, not its workers.
     Alone {
         node: usize,
@@ -255,7 +276,9 @@
             | Fault::Deaf { for_ms, .. }
             | Fault::Mute { for_ms, .. }
             | Fault::Alone { for_ms, .. } => *for_ms,
-            Fault::Copies { for_ms, late } => for_ms + late,
+            Fault::Copies { for_ms, late, .. } => for_ms + late,
+            Fault::HeldAnswers { for_ms, most, .. } | Fault::SlowState { for_ms, most } => for_ms + most,
+            Fault::LateWrites { for_ms, .. } => for_ms + 12_000,
             _ => 0,
         }
     }
@@ -386,6 +409,8 @@
     alive: bool,
     hung_until: u64,
     deaf_until: u64,
+    /// Until when its answers are held up, and for how long each at the most.
+    held: (u64, u64),
     faulty: bool,
     session: u64,
     seq: u64,
@@ -461,7 +486,10 @@
     pub refused: usize,
     /// What users were last told of jobs that were refused for good.
     pub final_no: BTreeMap<JobRef, u16>,
-    copies: (u64, u64),
+    /// Until when, what share, and how late at the most.
+    copies: (u64, u64, u64),
+    late_writes: (u64, u64),
+    slow_state: (u64, u64),
     lost_starts: usize,
     last_done: u64,
     /// Jobs whose users ask no more.
@@ -570,7 +598,9 @@
             sprung: BTreeMap::new(),
             refused: 0,
             final_no: BTreeMap::new(),
-            copies: (0, 0),
+            copies: (0, 0, 0),
+            late_writes: (0, 0),
+            slow_state: (0, 0),
             lost_starts: 0,
             last_done: 0,
             given_up: BTreeSet::new(),
@@ -615,6 +645,7 @@
             alive: true,
             hung_until: 0,
             deaf_until: 0,
+            held: (0, 0),
             faulty: false,
             session: 1,
             seq: 0,
@@ -827,7 +858,17 @@
                         as_older(&mut call);
                     }
                     let wait = if let StateCall::Watch { wait_ms, .. } = call { wait_ms } else { 0 };
-                    let delay = 3 + self.random(6);
+                    let mut delay = 3 + self.random(6);
+                    if self.now < self.slow_state.0 {
+                        delay += self.random(self.slow_state.1);
+                    }
+                    // The caller waits no longer; the call is carried out all the same.
+                    if delay + 10 > STATE_PATIENCE {
+                        let unknown = Input::State(id, StateAnswer::Unknown);
+                        self.at(self.now + STATE_PATIENCE, Due::ToNode(node, life, unknown));
+                        self.at(self.now + delay, Due::State(node, u32::MAX, id, call, 0));
+                        continue;
+                    }
                     self.at(self.now + delay, Due::State(node, life, id, call, self.now + wait));
                 }
                 Output::Cloud(id, call) => self.at(self.now + 80, Due::Cloud(node, life, id, call)),
@@ -891,6 +932,12 @@
             }
             return self.at(self.now + 1500, Due::ToNode(node, life, Input::State(id, StateAnswer::Unknown)));
         }
+        let (until, share) = self.late_writes;
+        if self.now < until && matches!(call, StateCall::Txn(_)) && life != u32::MAX && self.random(100) < share {
+            let late = 2000 + self.random(10_000);
+            self.at(self.now + late, Due::State(node, u32::MAX, id, call, 0));
+            return self.at(self.now + 1500, Due::ToNode(node, life, Input::State(id, StateAnswer::Unknown)));
+        }
         if let StateCall::Watch { after, .. } = &call {
             self.state.expire(self.now);
             if self.state.revision <= after.0 && self.now < deadline {
@@ -1019,8 +1066,8 @@
             tasks: tasks.collect(),
         };
         let (node, zone, flight) = (worker.node, worker.zone, worker.seq);
-        if now < self.copies.0 {
-            let late = 1 + self.random(self.copies.1);
+        if now < self.copies.0 && self.random(100) < self.copies.1 {
+            let late = 1 + self.random(self.copies.2);
             self.at(now + late, Due::Copy(index, report.clone()));
         }
         self.at(now + 5000, Due::TryNext(index, flight));
@@ -1045,6 +1092,11 @@
                 }
                 let zone = self.workers[worker].zone;
                 let session = self.workers[worker].session;
+                if let Some(most) = Some(self.workers[worker].held).filter(|held| self.now < held.0).map(|held| held.1)
+                {
+                    let late = 2 + self.random(most);
+                    return self.at(self.now + late, Due::Answer(worker, flight, reply, session));
+                }
                 let at = match self.cuts.get(&(node, zone)) {
                     Some(&(until, true)) if self.now < until => until + 1,
                     Some(&(until, false)) if self.now < until => return,
@@ -1313,10 +1365,12 @@
                 // Every lease has its full time again when the outage ends.
                 self.state.expire(now);
                 for lease in self.state.leases.values_mut() {
-                    lease.1 = now + for_ms + lease.0;
+                    lease.1 = lease.1.max(now + for_ms + lease.0);
                 }
             }
-            Fault::StateOutage { node: Some(node), for_ms } => self.state_out[node] = now + for_ms,
+            Fault::StateOutage { node: Some(node), for_ms } => {
+                self.state_out[node] = self.state_out[node].max(now + for_ms);
+            }
             Fault::StateSilence { node, for_ms, late } => self.silent[node] = (now + for_ms, late),
             Fault::Cut { node, zone, for_ms, hold } => {
                 let zones = self.shape.zones.len();
@@ -1344,9 +1398,16 @@
                 }
             }
             Fault::Mute { node, for_ms } => self.nodes[node].mute_until = now + for_ms,
-            Fault::Copies { for_ms, late } => self.copies = (now + for_ms, late),
+            Fault::Copies { share, for_ms, late } => self.copies = (now + for_ms, share, late),
+            Fault::SlowState { for_ms, most } => self.slow_state = (now + for_ms, most),
+            Fault::LateWrites { share, for_ms } => self.late_writes = (now + for_ms, share),
+            Fault::HeldAnswers { each, for_ms, most } => {
+                for worker in self.workers.iter_mut().filter(|w| w.alive).step_by(each.max(1)) {
+                    worker.held = (now + for_ms, most);
+                }
+            }
             Fault::Alone { node, for_ms } => {
-                self.state_out[node] = now + for_ms;
+                self.state_out[node] = self.state_out[node].max(now + for_ms);
                 self.nodes[node].alone_until = now + for_ms;
             }
             Fault::Limits { value_kb, txn_ops, write_rps } => {
@@ -1401,6 +1462,12 @@
         self.lost_starts
     }
 
+    /// The longest that an accepted job waited for its first start.
+    pub fn longest_wait(&self) -> u64 {
+        let begun = self.jobs.values().filter(|j| j.accepted);
+        begun.map(|j| j.began.unwrap_or(self.now) - j.came).max().unwrap_or(0)
+    }
+
     /// When the last task was done.
     pub fn last_done(&self) -> u64 {
         self.last_done
