A part that was on its way to a node that is gone again is served by its owner

Cause: an owner about to hand a part over starts nothing of it. If the other node ended again before the transaction was carried out, the part stayed, and nothing of it was started for as long as that node was away. Change: a part whose node is its owner again is no longer being released, and the next hand-over waits its moment anew. Test: a_part_that_was_to_go_back_and_stays_is_served fails without it, passes with it.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -225,6 +225,11 @@
             let held = self.view.owners.get(&part).cloned().unwrap_or_default();
             let holder = held.record.as_ref();
             if target == self.me.as_str() {
+                // It was on its way to a node that is gone again: it stays, and is served.
+                self.target_since.remove(&part);
+                if let Some(mine) = self.mine.get_mut(&part) {
+                    mine.releasing = false;
+                }
                 // Free, or held by an earlier life of this very node.
                 let free = holder.is_none_or(|h| h.node == self.me && h.lease != lease);
                 if free {
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -277,3 +277,24 @@
         prop_assert_eq!(judged(seed, clocks, meetings), [""; 0]);
     }
 }
+
+/// A node came back and ended again while its part was on its way to it, and
+/// the transaction got no answer: whoever kept the part started nothing of it
+/// any more, for as long as that node stayed away.
+#[test]
+fn a_part_that_was_to_go_back_and_stays_is_served() {
+    let mut world = World::new(3, 10.0);
+    world.fault(20_000, Fault::Crash { node: 0, back_after: 8000 });
+    world.fault(28_100, Fault::Crash { node: 0, back_after: 600_000 });
+    for node in [1, 2] {
+        world.fault(29_500, Fault::StateSilence { node, for_ms: 300, late: 0 });
+    }
+    // Nothing is written when the part is to go back.
+    for number in 0..36 {
+        let at = if number < 12 { 3000 + 10 * number } else { 34_000 + 800 * number };
+        world.submit(at, job(number as usize, 6, 9.0, None));
+    }
+    world.run(300_000);
+    assert_eq!(world.problems(), [""; 0]);
+    assert!(world.longest_wait() < 75_000, "a job waited {} ms", world.longest_wait());
+}
