Records read in pages count as read when the first page was asked for

Cause: the horizon of an owner counted from when the last page was asked for, but the records are as old as the first. With a slow state service the pages take seconds, by which a cancellation confirmed meanwhile was counted from too late. Change: the load carries the time of its first page. Test: records_read_in_pages_are_as_old_as_the_first (2.4 s instead of 1.0 s without it).

--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -8,9 +8,11 @@
 /// What a call's answer will be used for.
 #[derive(Debug)]
 pub(super) enum Pending {
+    /// Records in pages: those seen, the first page's revision, and when it was asked for.
     Load {
         seen: BTreeSet<String>,
         first: Option<Revision>,
+        since: Time,
     },
     Watch,
     /// Whether anybody keeps machines of the part.
@@ -132,7 +134,7 @@
             tracing::error!("the state service rejects {what:?}: {why}");
         }
         match what {
-            Pending::Load { seen, first } => self.load_answer(seen, first, sent, answer),
+            Pending::Load { seen, first, since } => self.load_answer(seen, first, since, answer),
             Pending::Watch => self.watch_answer(sent, answer),
             Pending::Compare(part) => self.compared(part, answer),
             Pending::Grant => self.grant_answer(answer),
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -54,7 +54,7 @@
             if !self.loading {
                 self.loading = true;
                 self.reads.force(self.now, 1.0);
-                let what = Pending::Load { seen: BTreeSet::new(), first: None };
+                let what = Pending::Load { seen: BTreeSet::new(), first: None, since: self.now };
                 self.call_state(StateCall::List { prefix: ROOT.into(), after: None }, what);
             }
         } else if !self.watching && self.now >= self.next_watch {
@@ -95,7 +95,7 @@
         &mut self,
         mut seen: BTreeSet<String>,
         first: Option<Revision>,
-        sent: Time,
+        since: Time,
         answer: StateAnswer,
     ) {
         let StateAnswer::Page(page) = answer else {
@@ -113,14 +113,15 @@
         }
         if let (true, Some(after)) = (page.more, last) {
             self.reads.force(self.now, 1.0);
-            let what = Pending::Load { seen, first: Some(first) };
+            let what = Pending::Load { seen, first: Some(first), since };
             return self.call_state(StateCall::List { prefix: ROOT.into(), after: Some(after) }, what);
         }
         self.view.forget_missing(&seen, first);
         self.view.revision = first;
         self.loading = false;
         self.loaded = true;
-        self.last_read = Some(sent);
+        // The first page is as old as when it was asked for, however long the others took.
+        self.last_read = Some(since);
         for part in 0..self.parts {
             self.owner_changed(PartId(part));
         }
@@ -439,6 +440,30 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::protocol::state::{Item, Page};
+
+    /// Records were held to be as new as the question for their last page: what was
+    /// cancelled while the pages came was counted from too late.
+    #[test]
+    fn records_read_in_pages_are_as_old_as_the_first() {
+        let mut core = super::super::tests::core();
+        let read = |core: &mut Core, at: u64| {
+            let outputs = core.handle(Time(at), 0, Input::Tick);
+            outputs.into_iter().find_map(|o| match o {
+                Output::State(id, StateCall::List { .. }) => Some(id),
+                _ => None,
+            })
+        };
+        let mut id = read(&mut core, 1000).expect("the first page is asked for");
+        for (at, more) in [(2400, true), (3800, false)] {
+            let item = Item { key: format!("t/x/{at}"), value: serde_json::Value::Null, version: Revision(3) };
+            let page = Page { items: vec![item], more, revision: Revision(at) };
+            let outputs = core.handle(Time(at), 0, Input::State(id, StateAnswer::Page(page)));
+            let next = |o: Output| if let Output::State(id, StateCall::List { .. }) = o { Some(id) } else { None };
+            id = outputs.into_iter().find_map(next).unwrap_or(id);
+        }
+        assert_eq!((core.loaded, core.last_read), (true, Some(Time(1000))));
+    }
 
     #[test]
     fn parts_go_home_and_spread_when_a_node_is_gone() {
