An owner whose records lag behind its ownership stops what it knows to be cancelled

Cause: a new owner answers workers before its records have reached its token, without commands. If the state service is gone in that moment, it renewed their leases for its whole horizon: counted from its last read, which may be seconds after the cancellation that it knew of, so tasks could live up to the last owner's lease longer than cancel_s. Change: it stops what has ended in its records, as keepers do. Test: an_owner_whose_records_lag_stops_what_it_knows_to_be_over fails without it.

--- a/src/coordination/answering.rs
+++ b/src/coordination/answering.rs
@@ -108,7 +108,7 @@
         if let Some(older) = self.answers.take(&report.machine) {
             self.reply(older.request, Reply::Commands { token, commands: vec![] });
         }
-        let commands = if fresh && ready { self.commands(part, &report) } else { vec![] };
+        let commands = self.orders(part, &report, fresh, ready);
         if commands.is_empty() && fresh && ready {
             let machine = self.mine.get(&part).and_then(|m| m.machines.get(&report.machine));
             if let Some(patience) = machine.and_then(|m| self.patience(part, m, &report)) {
@@ -119,6 +119,16 @@
         self.reply(request, Reply::Commands { token, commands });
     }
 
+    /// What a machine of ours is told. An owner whose records are not as new as its
+    /// ownership yet renews the machine's lease too, so it stops what it knows to be over.
+    fn orders(&mut self, part: PartId, report: &Report, newest: bool, ready: bool) -> Vec<Command> {
+        match (newest, ready) {
+            (true, true) => self.commands(part, report),
+            (true, false) => self.stops_of_ended(report),
+            (false, _) => vec![],
+        }
+    }
+
     /// Gives the answers that are due, and those that have something to say.
     pub(super) fn tend_answers(&mut self) {
         for machine in std::mem::take(&mut self.answers.touched) {
@@ -157,10 +167,60 @@
         // has not heard of the machine, and knows nothing of what is on it.
         let newest = self.mine.get(&part).and_then(|m| m.machines.get(machine));
         let newest = newest.is_some_and(|m| (m.session, m.seq) == (held.report.session, held.report.seq));
-        let commands = if newest && ready { self.commands(part, &held.report) } else { vec![] };
+        let commands = self.orders(part, &held.report, newest, ready);
         if commands.is_empty() && !due {
             return self.answers.hold(held);
         }
         self.reply(held.request, Reply::Commands { token, commands });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::workers::{TaskName, TaskReport};
+    use crate::units::{Attempt, Seq, Session};
+
+    /// A new owner whose watch brought nothing any more went on renewing leases of
+    /// machines on which a job ran that it knew to be cancelled.
+    #[test]
+    fn an_owner_whose_records_lag_stops_what_it_knows_to_be_over() {
+        let mut core = super::super::tests::core();
+        let record = serde_json::json!({
+            "spec": {"ref": "wk-000002", "haul": "c", "crew": "t", "rig": "array", "rank": "normal", "loads": 1,
+                "cores": 1.0, "mem_gb": 1.0, "kit": "i", "image_gb": 1.0, "reckon_s": 1.0},
+            "at": 0, "plan": {"size": 16, "parts": [0]}, "end": "cancelled"
+        });
+        let changed = core.view.apply("t/j/wk-000002", Some(record), Revision(5));
+        core.changed(changed);
+        core.last_read = Some(Time(0));
+        for part in 0..2 {
+            core.mine.insert(PartId(part), mine::Mine::new(Token(9), Time(0)));
+        }
+        let task = TaskReport {
+            task: TaskName { job: JobRef::new("wk-000002"), index: 0 },
+            attempt: Attempt(1),
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        };
+        let report = Report {
+            machine: MachineId::new("i-000001"),
+            addr: String::new(),
+            kind: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            session: Session(1),
+            seq: Seq(4),
+            token: Token(7),
+            notice_s: None,
+            tasks: vec![task],
+        };
+        core.report(RequestId(1), report);
+        let told = |o: &Output| {
+            matches!(o, Output::Reply(_, Reply::Commands { commands, .. })
+            if matches!(commands[..], [Command::Stop { grace_s: 0.0, .. }]))
+        };
+        assert!(core.out.iter().any(told), "{:?}", core.out);
+    }
+}
--- a/src/coordination/keeping.rs
+++ b/src/coordination/keeping.rs
@@ -86,17 +86,22 @@
             // Not to the owner, which we do not hear either: to the next one.
             return Reply::Elsewhere(None);
         }
-        // What was cancelled meanwhile must end, whoever says so.
+        let commands = self.stops_of_ended(report);
+        Reply::Commands { token, commands }
+    }
+
+    /// Stops of what runs though its job has ended: it must end whoever answers, and
+    /// whatever else is known of the part.
+    pub(super) fn stops_of_ended(&self, report: &Report) -> Vec<Command> {
         let over = |task: &&crate::protocol::workers::TaskReport| {
             let job = self.view.jobs.get(&task.task.job);
             task.state != TaskState::Exited && job.is_some_and(|j| j.record.end.is_some())
         };
         let stops = report.tasks.iter().filter(over);
-        let commands = stops
+        stops
             .map(|t| Command::Stop { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 })
             .take(super::workers::MOST_COMMANDS)
-            .collect();
-        Reply::Commands { token, commands }
+            .collect()
     }
 
     fn kept(&self, part: PartId) -> bool {
