A controller that neither the state service nor any other reaches does not ask for users

Cause: /up stayed 200 while a controller had lost the state service and heard no other, since it could not tell that others reached the records. The load balancer kept users with it, and all that they were told was to come back. Change: without the state service it is up only if others are heard and do not reach it either, or if there is no other. Test: a_node_left_alone_does_not_ask_for_users fails without it.

--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -30,12 +30,13 @@
     }
 
     /// True if submissions can be judged and the records can be reached, or
-    /// if nobody seems to reach them: then it is not this node's trouble.
+    /// if others do not reach them either: then it is not this node's trouble.
+    /// One that hears no other at all is left alone, as far as it can tell.
     pub(super) fn can_take(&self) -> bool {
-        let reached = self.last_state_answer.is_some_and(|at| self.now.since(at) < Span(3000));
-        let others_reach =
-            self.peers.values().any(|p| p.state_reachable && p.heard.is_some_and(|at| self.now.since(at) < Span(3000)));
-        self.loaded && !self.catalog.is_empty() && (reached || !others_reach)
+        let lately = |at: Option<Time>| at.is_some_and(|at| self.now.since(at) < Span(3000));
+        let mut heard = self.peers.values().filter(|p| lately(p.heard)).peekable();
+        let not_ours = self.peers.is_empty() || heard.peek().is_some() && heard.all(|p| !p.state_reachable);
+        self.loaded && !self.catalog.is_empty() && (lately(self.last_state_answer) || not_ours)
     }
 
     fn known_final(&self, job: &JobRef) -> Option<JobState> {
@@ -307,3 +308,35 @@
         End::Cancelled => JobState::Cancelled,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A controller that had lost the state service and the others went on saying that
+    /// it could take requests: users stayed with it and were told to come back for minutes.
+    #[test]
+    fn a_node_left_alone_does_not_ask_for_users() {
+        let mut core = super::super::tests::core();
+        let kind = serde_json::json!({"sku": "m", "cores": 8.0, "gpus": 0.0, "mem_gb": 32.0, "local_gb": 50.0,
+            "fetch_gb_per_s": 1.0, "hourly": 1.0, "market_price": null, "ready_s": 20.0, "berths": ["a"]});
+        core.catalog.insert("m".into(), serde_json::from_value(kind).expect("a machine type"));
+        (core.loaded, core.now) = (true, Time(60_000));
+        let mut up = |state: u64, peer: Option<(u64, bool)>| {
+            core.last_state_answer = Some(Time(state));
+            let peer = peer.map(|(heard, state_reachable)| PeerState {
+                heard: Some(Time(heard)),
+                state_reachable,
+                note: None,
+            });
+            core.peers.insert(NodeName::new("n1"), peer.unwrap_or_default());
+            core.can_take()
+        };
+        assert!(up(59_000, None), "the records are reached");
+        assert!(up(50_000, Some((59_000, false))), "nobody reaches the records");
+        assert!(!up(50_000, Some((59_000, true))), "only this node does not");
+        assert!(!up(50_000, Some((50_000, false))), "nobody is heard either");
+        core.peers.clear();
+        assert!(core.can_take(), "there is nobody else");
+    }
+}
