Without the state service questions about jobs are answered at once

Cause: a question that could not be answered from memory waited 1.5 s for a read that could not come, while users of a controller that is cut off did the same again. Change: after 2.5 s without any answer of the state service (watches bring several in that time) it is answered 503 with when to come back at once. A standstill of the node does not count. Test: without_the_state_service_questions_are_answered_at_once fails without it.

--- a/src/coordination/queries.rs
+++ b/src/coordination/queries.rs
@@ -20,6 +20,10 @@
 /// user would not wait much longer.
 const PATIENCE: Span = Span(1500);
 
+/// Without any answer of the state service for so long a question is told to come
+/// back at once: watches alone bring several in that time, if it answers at all.
+const STATE_SILENT: Span = Span(2500);
+
 /// Nothing is ever kept under this key; reading it tells the revision.
 const PROBE_KEY: &str = "t/q";
 
@@ -43,6 +47,11 @@
 
 impl Core {
     pub(super) fn ask_view(&mut self, request: RequestId, job: JobRef) {
+        // A standstill of this node is nobody's silence.
+        let heard = self.last_state_answer.map(|at| at.max(self.resumed));
+        if self.loaded && heard.is_none_or(|at| self.now.since(at) > STATE_SILENT) {
+            return self.reply(request, Reply::later("the state service does not answer"));
+        }
         let queries = &mut self.queries;
         if !self.loaded || queries.waiting.len() + queries.held.len() >= MOST_WAITING {
             return self.reply(request, Reply::later("busy"));
@@ -108,3 +117,25 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Users of a controller that is cut off waited 1.5 s each time to be told to come back.
+    #[test]
+    fn without_the_state_service_questions_are_answered_at_once() {
+        let mut core = super::super::tests::core();
+        (core.loaded, core.last_state_answer) = (true, Some(Time(1000)));
+        let mut told = |at: u64| {
+            let outputs = core.handle(Time(at), 0, Input::User(RequestId(at), Ask::Query(JobRef::new("wk-000001"))));
+            outputs.iter().any(|o| {
+                matches!(o, Output::Reply(RequestId(id), Reply::Problem { status: 503, retry_after_s: Some(_), .. })
+                    if *id == at)
+            })
+        };
+        for at in (1100..6000).step_by(300) {
+            assert_eq!(told(at), at > 3500, "{at}");
+        }
+    }
+}
