Settings that leave no time to answer workers are refused

Cause: with cancel_s hardly above lease_s the time that an owner may answer workers after a read came to nothing: the program started, no worker was answered, and nothing ran, without a word. Change: settings must leave two seconds (a watch without news takes one); the lengths of time are worked out where the settings are. Test: a_cancellation_must_leave_time_to_answer_workers fails with the check as it was.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -162,15 +162,12 @@
 
 impl Timing {
     fn of(settings: &Settings) -> Timing {
-        const DRIFT: f64 = 1.0 + 2.0 * 0.0005;
         let w = &settings.cluster.workers;
-        let margin = (w.report_s + 0.5).min(w.cancel_s / 8.0);
-        let worker_lease = w.lease_s * DRIFT + 0.2;
         Timing {
             ttl: Span::secs((w.lease_s * 0.4).clamp(1.0, 60.0)),
             renew_every: Span::secs((w.lease_s * 0.1).clamp(0.25, 15.0)),
-            worker_lease: Span::secs(worker_lease),
-            horizon: Span::secs(((w.cancel_s - margin) / DRIFT - worker_lease).max(0.0)),
+            worker_lease: Span::secs(w.longest_lease_s()),
+            horizon: Span::secs(w.horizon_s()),
             fresh: Span::secs((w.lease_s * 0.3).max(1.0)),
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -93,6 +93,28 @@
     pub cancel_s: f64,
 }
 
+/// Two clocks of a deployment run apart by this much at the most.
+const DRIFT: f64 = 1.0 + 2.0 * 0.0005;
+
+/// The least time that an owner must be able to go on without the state service: a
+/// watch that brings nothing takes a second, and its answer some of the next.
+const LEAST_HORIZON_S: f64 = 2.0;
+
+impl Workers {
+    /// A worker's lease in seconds, with room for drifting clocks.
+    pub fn longest_lease_s(&self) -> f64 {
+        self.lease_s * DRIFT + 0.2
+    }
+
+    /// How long an owner may go on answering workers after its last read of the
+    /// records, in seconds: their leases then run out before a cancellation that it
+    /// cannot have heard of is due. 0 if there is no such time.
+    pub fn horizon_s(&self) -> f64 {
+        let margin = (self.report_s + 0.5).min(self.cancel_s / 8.0);
+        ((self.cancel_s - margin) / DRIFT - self.longest_lease_s()).max(0.0)
+    }
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct StateLimits {
     pub rps: f64,
@@ -185,8 +207,9 @@
         if c.quota.fd_limit < 32 {
             return Err(SettingsError::Value(file.into(), "cluster.quota.fd_limit", "must be at least 32"));
         }
-        if c.workers.cancel_s <= c.workers.lease_s {
-            return Err(SettingsError::Value(file.into(), "cluster.workers.cancel_s", "must exceed lease_s"));
+        if c.workers.horizon_s() < LEAST_HORIZON_S {
+            let why = "must exceed lease_s, report_s and three seconds together, or no worker could be answered";
+            return Err(SettingsError::Value(file.into(), "cluster.workers.cancel_s", why));
         }
         Ok(())
     }
@@ -269,6 +292,33 @@
 mod tests {
     use super::*;
 
+    /// With a cancellation due hardly later than a lease ends, workers were never answered
+    /// and nothing ran, without a word.
+    #[test]
+    fn a_cancellation_must_leave_time_to_answer_workers() {
+        let checked = |cancel_s: f64| {
+            let settings = serde_json::json!({
+                "label": "n0", "client_listen": "127.0.0.1:1", "internal_addr": "127.0.0.1:2",
+                "external": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+                "cluster": {
+                    "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": cancel_s},
+                    "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 12},
+                    "cloud": {"rps": 2.0, "list_lag_s": 8.0},
+                    "quota": {"ram_mb": 56.0, "fd_limit": 800}
+                }
+            });
+            let settings: Settings = serde_json::from_value(settings).expect("settings");
+            (settings.check("f").is_ok(), settings.cluster.workers.horizon_s())
+        };
+        for cancel_s in [9.0, 10.5, 12.0, 13.5] {
+            assert!(!checked(cancel_s).0, "{cancel_s}");
+        }
+        for cancel_s in [14.0, 16.0, 40.0] {
+            let (taken, horizon_s) = checked(cancel_s);
+            assert!(taken && (horizon_s + 10.2) * 1.0005 < cancel_s, "{cancel_s}: {horizon_s}");
+        }
+    }
+
     #[test]
     fn unknown_operator_keys_are_refused() {
         assert!(toml::from_str::<Tuning>("round_ms = 200").is_ok());
