Every transaction names what it changes; the stand-in calls one without a condition broken

Cause: a node's announcement, its withdrawal and a keeper's taking back of its note had no condition. Carried out late, after newer ones of the same node, they removed or brought back what was newer until the node noticed: its parts could be on their way elsewhere meanwhile. Change: each names the version of the key that it changes; a conflict makes the node read it. Test: the stand-in counts a transaction without a condition as a broken rule; with the sources as they were transactions_carried_out_late_undo_nothing_newer fails at the first announcement.

--- a/src/coordination/keeping.rs
+++ b/src/coordination/keeping.rs
@@ -58,7 +58,8 @@
                 let conditions = vec![Condition { key: owner_key(part), version }];
                 self.simple_txn(Txn { conditions, changes: vec![Change::put_leased(key, value, lease)] });
             } else if !silent && held.record.is_some() {
-                self.simple_txn(Txn { conditions: vec![], changes: vec![Change::delete(key)] });
+                let conditions = vec![Condition { key: key.clone(), version: held.version }];
+                self.simple_txn(Txn { conditions, changes: vec![Change::delete(key)] });
             }
         }
     }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -203,7 +203,9 @@
             return;
         }
         if let Ok(value) = serde_json::to_value(NodeRecord { lease, level: upgrade::OURS }) {
-            self.simple_txn(Txn { conditions: vec![], changes: vec![Change::put_leased(key, value, lease)] });
+            // Carried out late it must not undo what this node said later.
+            let conditions = vec![Condition { key: key.clone(), version: held.map_or(Revision(0), |h| h.version) }];
+            self.simple_txn(Txn { conditions, changes: vec![Change::put_leased(key, value, lease)] });
         }
     }
 
--- a/src/coordination/withdrawing.rs
+++ b/src/coordination/withdrawing.rs
@@ -117,9 +117,10 @@
             }
         }
         let key = records::node_key(&self.me);
-        let listed = self.view.nodes.get(&self.me).is_some_and(|h| h.record.is_some());
-        if listed && !self.busy_keys.contains(&key) {
-            self.simple_txn(Txn { conditions: vec![], changes: vec![Change::delete(key)] });
+        let listed = self.view.nodes.get(&self.me).filter(|h| h.record.is_some()).map(|h| h.version);
+        if let (Some(version), false) = (listed, self.busy_keys.contains(&key)) {
+            let conditions = vec![Condition { key: key.clone(), version }];
+            self.simple_txn(Txn { conditions, changes: vec![Change::delete(key)] });
         }
     }
 }
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -938,6 +938,12 @@
             self.at(self.now + late, Due::State(node, u32::MAX, id, call, 0));
             return self.at(self.now + 1500, Due::ToNode(node, life, Input::State(id, StateAnswer::Unknown)));
         }
+        if let StateCall::Txn(txn) = &call {
+            // Carried out late, it would undo what is newer.
+            if !txn.changes.is_empty() && txn.conditions.is_empty() {
+                self.broken.push(format!("unconditional: {:?} at {}", txn.changes, self.now));
+            }
+        }
         if let StateCall::Watch { after, .. } = &call {
             self.state.expire(self.now);
             if self.state.revision <= after.0 && self.now < deadline {
