A gift of allowance in doubt counts as given until its repetition says what became of it

Cause: a gift without an answer was sent again at once; if the repetition was refused (state service down by then) the giver took the gift for not carried out, while the first could still be, or was already: the allowance counted twice. Found by a slow state service that runs into an outage. Reads that were to tell were repeated as fast as they were refused. Change: such gifts and reads are asked about with the housekeeping until they are answered. Test: a_gift_in_doubt_counts_as_given_until_it_is_known (12 instead of 8 cores without it).

--- a/src/coordination/allowances.rs
+++ b/src/coordination/allowances.rs
@@ -110,3 +110,30 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A gift without an answer was sent again; that this was refused passed for
+    /// the gift not being carried out, which it might be all the same, later.
+    #[test]
+    fn a_gift_in_doubt_counts_as_given_until_it_is_known() {
+        let mut core = super::super::tests::core();
+        core.settings.cluster.teams =
+            serde_json::from_value(serde_json::json!([{"name": "red", "cpus_max": 24.0}])).expect("teams");
+        let part = PartId(0);
+        core.mine.insert(part, Mine { ready: true, ..Mine::new(Token(9), Time(0)) });
+        core.last_read = Some(Time(0));
+        assert!(core.give_allowance(part, PartId(1), "red", (4.0, 0.0)));
+        for answer in [StateAnswer::Unknown, StateAnswer::Refused, StateAnswer::Unknown] {
+            core.state_answer(CallId(core.last_call), answer);
+            assert_eq!(core.allowance(part, "red").0, Some(8.0));
+            core.retry_state_at = Time(0);
+            core.ask_about_gifts();
+        }
+        core.state_answer(CallId(core.last_call), StateAnswer::Committed(Revision(12)));
+        assert!(core.mine[&part].giving.is_none() && core.busy_keys.is_empty());
+        assert_eq!((core.allowance(part, "red").0, core.allowance(PartId(1), "red").0), (Some(8.0), Some(16.0)));
+    }
+}
--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -21,6 +21,8 @@
     Renew(LeaseId),
     /// A transaction whose outcome the watch or a conflict read shows.
     Simple(Txn),
+    /// A gift of allowance sent once more: the first got no answer.
+    GiftAgain(Txn),
     PartTxn {
         part: PartId,
         txn: Txn,
@@ -75,6 +77,13 @@
     Catalog,
 }
 
+/// Gifts of allowance that got no answer, and reads that are to tell of them.
+#[derive(Debug, Default)]
+pub(super) struct InDoubt {
+    gifts: Vec<Txn>,
+    reads: Vec<(String, Option<PartId>)>,
+}
+
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) what: Pending,
@@ -139,38 +148,14 @@
             Pending::Compare(part) => self.compared(part, answer),
             Pending::Grant => self.grant_answer(answer),
             Pending::Renew(lease) => self.renew_answer(lease, answer),
-            // A gift of allowance counts as given until it is known not to be:
-            // carried out late, it would otherwise be used twice.
             Pending::Simple(txn) if matches!(answer, StateAnswer::Unknown) && is_gift(&txn) => {
-                self.call_state(StateCall::Txn(txn.clone()), Pending::Simple(txn));
+                self.in_doubt.gifts.push(txn);
             }
-            Pending::Simple(txn) => {
-                if is_gift(&txn) && !matches!(answer, StateAnswer::Conflict(_)) {
-                    let parts = txn.changes.iter().filter_map(|c| match records::Key::read(change_key(c)) {
-                        Some(records::Key::Allowance(part)) => Some(part),
-                        _ => None,
-                    });
-                    let parts: Vec<PartId> = parts.collect();
-                    if let StateAnswer::Committed(revision) = answer {
-                        self.committed(&txn, revision);
-                    }
-                    self.end_gifts(&parts);
-                }
-                for change in &txn.changes {
-                    self.busy_keys.remove(change_key(change));
-                }
-                match answer {
-                    StateAnswer::Committed(revision) => self.committed(&txn, revision),
-                    StateAnswer::Conflict(failed) if is_gift(&txn) => {
-                        let keys = txn.conditions.iter().map(|c| c.key.clone()).collect();
-                        drop(failed);
-                        self.reread(keys, None);
-                    }
-                    StateAnswer::Conflict(failed) => self.reread(failed, None),
-                    StateAnswer::LeaseGone => self.lease_gone_elsewhere(&txn),
-                    _ => {}
-                }
+            Pending::Simple(txn) => self.simple_answer(txn, answer),
+            Pending::GiftAgain(txn) if matches!(answer, StateAnswer::Unknown | StateAnswer::Refused) => {
+                self.in_doubt.gifts.push(txn);
             }
+            Pending::GiftAgain(txn) => self.simple_answer(txn, answer),
             Pending::PartTxn { part, txn } => self.part_txn_answer(part, txn, answer),
             Pending::Reread { key, part } => self.reread_answer(key, part, answer),
             Pending::SubmitWrite { request, txn, spec } => self.submit_written(request, txn, spec, answer),
@@ -186,6 +171,52 @@
         }
     }
 
+    fn simple_answer(&mut self, txn: Txn, answer: StateAnswer) {
+        if is_gift(&txn) && !matches!(answer, StateAnswer::Conflict(_)) {
+            let parts = txn.changes.iter().filter_map(|c| match records::Key::read(change_key(c)) {
+                Some(records::Key::Allowance(part)) => Some(part),
+                _ => None,
+            });
+            let parts: Vec<PartId> = parts.collect();
+            if let StateAnswer::Committed(revision) = answer {
+                self.committed(&txn, revision);
+            }
+            self.end_gifts(&parts);
+        }
+        for change in &txn.changes {
+            self.busy_keys.remove(change_key(change));
+        }
+        match answer {
+            StateAnswer::Committed(revision) => self.committed(&txn, revision),
+            StateAnswer::Conflict(failed) if is_gift(&txn) => {
+                let keys = txn.conditions.iter().map(|c| c.key.clone()).collect();
+                drop(failed);
+                self.reread(keys, None);
+            }
+            StateAnswer::Conflict(failed) => self.reread(failed, None),
+            StateAnswer::LeaseGone => self.lease_gone_elsewhere(&txn),
+            _ => {}
+        }
+    }
+
+    /// Asks again what became of gifts. One that got no answer may still be carried
+    /// out: it counts as given until its repetition says what became of it, and that
+    /// the repetition was refused says nothing about the first.
+    pub(super) fn ask_about_gifts(&mut self) {
+        if self.now < self.retry_state_at {
+            return;
+        }
+        for txn in std::mem::take(&mut self.in_doubt.gifts) {
+            self.reads.force(self.now, 1.0);
+            self.writes.force(self.now, txn.changes.len() as f64);
+            self.call_state(StateCall::Txn(txn.clone()), Pending::GiftAgain(txn));
+        }
+        for (key, part) in std::mem::take(&mut self.in_doubt.reads) {
+            self.reads.force(self.now, 1.0);
+            self.call_state(StateCall::Get { key: key.clone() }, Pending::Reread { key, part });
+        }
+    }
+
     /// Takes a committed transaction's changes into the view.
     pub(super) fn committed(&mut self, txn: &Txn, revision: Revision) {
         for change in &txn.changes {
@@ -205,11 +236,11 @@
     }
 
     pub(super) fn reread_answer(&mut self, key: String, part: Option<PartId>, answer: StateAnswer) {
-        if let (Some(records::Key::Allowance(part)), true) =
+        if let (Some(records::Key::Allowance(_)), true) =
             (records::Key::read(&key), matches!(answer, StateAnswer::Unknown | StateAnswer::Refused))
         {
             // What became of a gift must be known before allowance is used again.
-            return self.call_state(StateCall::Get { key: key.clone() }, Pending::Reread { key, part: Some(part) });
+            return self.in_doubt.reads.push((key, part));
         }
         let changed = match answer {
             StateAnswer::Found(item) => self.view.apply(&key, Some(item.value), item.version),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -215,6 +215,7 @@
     too_large: BTreeSet<String>,
     /// Keys with a simple transaction on its way.
     busy_keys: BTreeSet<String>,
+    in_doubt: calls::InDoubt,
     mine: BTreeMap<PartId, Mine>,
     target_since: BTreeMap<PartId, (NodeName, Time)>,
     finish: BTreeSet<JobRef>,
@@ -288,6 +289,7 @@
             renew_at: Time(0),
             too_large: BTreeSet::new(),
             busy_keys: BTreeSet::new(),
+            in_doubt: calls::InDoubt::default(),
             mine: BTreeMap::new(),
             target_since: BTreeMap::new(),
             finish: BTreeSet::new(),
@@ -387,6 +389,7 @@
         self.tend_notes();
         self.expire_machines();
         self.lead();
+        self.ask_about_gifts();
         self.share_allowances();
         self.finish_jobs();
         self.raise_level();
