What becomes of a simple transaction is told once; tests share their settings and record

Cause: a committed gift was taken into the view twice, and the same settings and job record stood in two tests each. Change: one match on the answer, after which gifts that it settles end; behaviour and assertions as they were. The cause of the record and settings being written twice is gone.

--- a/src/coordination/answering.rs
+++ b/src/coordination/answering.rs
@@ -186,11 +186,8 @@
     #[test]
     fn an_owner_whose_records_lag_stops_what_it_knows_to_be_over() {
         let mut core = super::super::tests::core();
-        let record = serde_json::json!({
-            "spec": {"ref": "wk-000002", "haul": "c", "crew": "t", "rig": "array", "rank": "normal", "loads": 1,
-                "cores": 1.0, "mem_gb": 1.0, "kit": "i", "image_gb": 1.0, "reckon_s": 1.0},
-            "at": 0, "plan": {"size": 16, "parts": [0]}, "end": "cancelled"
-        });
+        let record =
+            super::super::tests::record(serde_json::json!({"plan": {"size": 16, "parts": [0]}, "end": "cancelled"}));
         let changed = core.view.apply("t/j/wk-000002", Some(record), Revision(5));
         core.changed(changed);
         core.last_read = Some(Time(0));
--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -172,31 +172,24 @@
     }
 
     fn simple_answer(&mut self, txn: Txn, answer: StateAnswer) {
-        if is_gift(&txn) && !matches!(answer, StateAnswer::Conflict(_)) {
-            let parts = txn.changes.iter().filter_map(|c| match records::Key::read(change_key(c)) {
-                Some(records::Key::Allowance(part)) => Some(part),
-                _ => None,
-            });
-            let parts: Vec<PartId> = parts.collect();
-            if let StateAnswer::Committed(revision) = answer {
-                self.committed(&txn, revision);
-            }
-            self.end_gifts(&parts);
-        }
         for change in &txn.changes {
             self.busy_keys.remove(change_key(change));
         }
         match answer {
             StateAnswer::Committed(revision) => self.committed(&txn, revision),
-            StateAnswer::Conflict(failed) if is_gift(&txn) => {
-                let keys = txn.conditions.iter().map(|c| c.key.clone()).collect();
-                drop(failed);
-                self.reread(keys, None);
+            // It counts as given until all that it names has been read.
+            StateAnswer::Conflict(_) if is_gift(&txn) => {
+                return self.reread(txn.conditions.into_iter().map(|c| c.key).collect(), None);
             }
             StateAnswer::Conflict(failed) => self.reread(failed, None),
             StateAnswer::LeaseGone => self.lease_gone_elsewhere(&txn),
             _ => {}
         }
+        let parts = txn.changes.iter().filter_map(|c| match records::Key::read(change_key(c)) {
+            Some(records::Key::Allowance(part)) => Some(part),
+            _ => None,
+        });
+        self.end_gifts(&parts.collect::<Vec<_>>());
     }
 
     /// Asks again what became of gifts. One that got no answer may still be carried
--- a/src/coordination/following.rs
+++ b/src/coordination/following.rs
@@ -327,11 +327,8 @@
     #[test]
     fn what_waits_behind_an_unknown_job_is_not_told_before_it_is_known() {
         let mut core = super::super::tests::core();
-        let record = serde_json::json!({
-            "spec": {"ref": "wk-000002", "haul": "c", "crew": "t", "rig": "array", "rank": "normal", "loads": 1,
-                "cores": 1.0, "mem_gb": 1.0, "kit": "i", "image_gb": 1.0, "reckon_s": 1.0},
-            "at": 0, "plan": {"size": 1, "parts": []}, "awaits": "000001"
-        });
+        let record =
+            super::super::tests::record(serde_json::json!({"plan": {"size": 1, "parts": []}, "awaits": "000001"}));
         let (first, second) = (JobRef::new("wk-000001"), JobRef::new("wk-000002"));
         let changed = core.view.apply("t/j/wk-000002", Some(record), Revision(5));
         core.changed(changed);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -413,18 +413,17 @@
     use super::*;
 
     pub(in crate::coordination) fn core() -> Core {
-        let settings = serde_json::json!({
-            "label": "n0", "client_listen": "127.0.0.1:1", "internal_addr": "127.0.0.1:2",
-            "known": [{"label": "n1", "address": "127.0.0.1:3"}],
-            "external": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
-            "cluster": {
-                "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 40.0},
-                "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 12},
-                "cloud": {"rps": 2.0, "list_lag_s": 8.0},
-                "quota": {"ram_mb": 56.0, "fd_limit": 800}
-            }
+        Core::new(crate::settings::tests::example(40.0), Tuning::default())
+    }
+
+    /// The record of job wk-000002, of one task, with these fields.
+    pub(in crate::coordination) fn record(mut fields: serde_json::Value) -> serde_json::Value {
+        fields["at"] = 0.into();
+        fields["spec"] = serde_json::json!({
+            "ref": "wk-000002", "haul": "c", "crew": "t", "rig": "array", "rank": "normal", "loads": 1,
+            "cores": 1.0, "mem_gb": 1.0, "kit": "i", "image_gb": 1.0, "reckon_s": 1.0
         });
-        Core::new(serde_json::from_value(settings).expect("settings"), Tuning::default())
+        fields
     }
 
     /// A node that stood still took its peers to be silent and its machines to
