What no part can use of a team's limit makes up a task elsewhere

Cause: a part kept what was left of its allowance for tasks of its own that wait, though it was less than any of them takes. With as many such parts a team stayed under its limit for good: with a limit of 10 over three parts and tasks of 4 cores none ever started, and with 24 four cores went unused.

Change: a part whose left-over is too little for the least of its waiting tasks gives it to a part of a lower number that lacks some; one way only, so that it comes to rest. Shares move in thousandths, not whole cores, and the first part has what equal shares leave.

--- a/src/coordination/allowances.rs
+++ b/src/coordination/allowances.rs
@@ -10,12 +10,28 @@
     txn.changes.iter().any(|c| matches!(records::Key::read(change_key(c)), Some(records::Key::Allowance(_))))
 }
 
+/// Shares are cut to these; what binary fractions lack of one counts as one.
+fn thousandths(amount: f64) -> f64 {
+    (amount.max(0.0) * 1000.0 + 1e-6).floor() / 1000.0
+}
+
+/// A part's share of a limit as long as nothing was given: the first has what is
+/// left when all have the same.
+fn first_share(max: f64, part: PartId, parts: u32) -> f64 {
+    let each = thousandths(max / f64::from(parts));
+    if part == PartId(0) {
+        max - each * f64::from(parts.saturating_sub(1))
+    } else {
+        each
+    }
+}
+
 impl Core {
     /// A part's share of a team's limit; none: no limit.
     pub(super) fn allowance(&self, part: PartId, team: &str) -> (Option<f64>, Option<f64>) {
         let Some(limits) = self.settings.cluster.teams.iter().find(|t| t.name == team) else { return (None, None) };
         let stored = self.view.allowances.get(&part).and_then(|h| h.record.as_ref()).and_then(|r| r.teams.get(team));
-        let share = |max: f64| (max / f64::from(self.parts) * 1000.0).floor() / 1000.0;
+        let share = |max: f64| first_share(max, part, self.parts);
         let (mut cpus, mut gpus) = stored.copied().unwrap_or((share(limits.cpus_max), share(limits.gpus_max)));
         if let Some(left) = self.mine.get(&part).and_then(|m| m.giving.as_ref()).and_then(|g| g.teams.get(team)) {
             cpus = cpus.min(left.0);
@@ -50,7 +66,7 @@
     pub(super) fn share_allowances(&mut self) {
         let mut wants: BTreeMap<PartId, BTreeMap<String, (f64, f64)>> = BTreeMap::new();
         for (part, mine) in &self.mine {
-            wants.insert(*part, mine.wanted.clone());
+            wants.insert(*part, mine.wanted.iter().map(|(team, lack)| (team.clone(), lack.all)).collect());
         }
         for peer in self.peers.values() {
             let recent = peer.heard.is_some_and(|at| self.now.since(at) < Span(3000));
@@ -81,9 +97,14 @@
         let used = mine.used.get(team).copied().unwrap_or_default();
         let own = mine.wanted.get(team).copied().unwrap_or_default();
         let token = mine.token;
-        let spare = |limit: Option<f64>, used: f64, own: f64| limit.map_or(0.0, |l| (l - used - own).max(0.0));
-        let gift =
-            (spare(limit.0, used.0, own.0).min(want.0).floor(), spare(limit.1, used.1, own.1).min(want.1).floor());
+        let left = |limit: Option<f64>, used: f64| limit.map(|limit| (limit - used).max(0.0));
+        let left = (left(limit.0, used.0), left(limit.1, used.1));
+        // What is too little for any task here may make up one elsewhere. It goes one
+        // way only, so that it comes to rest.
+        let useless = to < part && own.is_beyond(left);
+        let keep = if useless { (0.0, 0.0) } else { own.all };
+        let spare = |left: Option<f64>, keep: f64, want: f64| thousandths((left.unwrap_or(0.0) - keep).min(want));
+        let gift = (spare(left.0, keep.0, want.0), spare(left.1, keep.1, want.1));
         if gift.0 <= 0.0 && gift.1 <= 0.0 {
             return false;
         }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -353,8 +353,8 @@
                 .iter()
                 .map(|(team, want)| crate::protocol::peer::TeamUse {
                     team: team.clone(),
-                    wanted_cpus: want.0,
-                    wanted_gpus: want.1,
+                    wanted_cpus: want.all.0,
+                    wanted_gpus: want.all.1,
                 })
                 .collect(),
             up: vec![],
--- a/src/coordination/mine.rs
+++ b/src/coordination/mine.rs
@@ -76,7 +76,7 @@
     pub running_since: HashMap<TaskKey, Time, FixedState>,
     /// Team resources in use, and those missing for waiting tasks.
     pub used: BTreeMap<String, (f64, f64)>,
-    pub wanted: BTreeMap<String, (f64, f64)>,
+    pub wanted: BTreeMap<String, Lack>,
     /// An allowance on its way to another part: what is left until that is known.
     pub giving: Option<AllowanceRecord>,
 }
@@ -113,6 +113,29 @@
     }
 }
 
+/// What a part lacks of a team's limit: cores and GPUs of tasks that have room.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Lack {
+    pub all: (f64, f64),
+    /// What the least of them takes.
+    least: (f64, f64),
+}
+
+impl Lack {
+    /// So many more tasks, each of which takes this.
+    pub fn add(&mut self, need: (f64, f64), tasks: f64) {
+        let first = self.all == (0.0, 0.0);
+        self.least = if first { need } else { (self.least.0.min(need.0), self.least.1.min(need.1)) };
+        self.all = (self.all.0 + need.0 * tasks, self.all.1 + need.1 * tasks);
+    }
+
+    /// True if this is too little for any of the tasks.
+    pub fn is_beyond(&self, left: (Option<f64>, Option<f64>)) -> bool {
+        let short = |left: Option<f64>, least: f64| left.is_some_and(|left| left + 1e-9 < least);
+        short(left.0, self.least.0) || short(left.1, self.least.1)
+    }
+}
+
 /// Machines that seem to be gone, and the comparison that is to prove it.
 #[derive(Debug, Default)]
 pub enum Verdict {
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -1,7 +1,7 @@
 //! Placement rounds: each waiting task goes where its expected completion is
 //! least, which may mean waiting for a busy machine.
 
-use super::mine::TaskKey;
+use super::mine::{Lack, TaskKey};
 use super::openings::{fits, Amounts};
 use super::seats::{needs, Seat, Shapes, Spread};
 use super::waiting::{JobSet, Place};
@@ -119,7 +119,7 @@
             return;
         }
         let mut places: Vec<(TaskKey, Attempt, MachineId)> = vec![];
-        let mut wanted: BTreeMap<String, (f64, f64)> = BTreeMap::new();
+        let mut wanted: BTreeMap<String, Lack> = BTreeMap::new();
         let mut used = self.mine.get(&part).map(|m| m.used.clone()).unwrap_or_default();
         let mut seats = self.seats(part);
         let reserve = self.reserve(seats.iter().map(|s| s.type_.cpus).sum());
@@ -173,9 +173,7 @@
                 // with room for a task has use for more of its team's limit.
                 if at_once {
                     let tasks = idle_in(job, part).min(if gang { 1 } else { MOST_WAITS }) as f64;
-                    let lack = wanted.entry(job.record.spec.team.clone()).or_default();
-                    lack.0 += need[0] * tasks;
-                    lack.1 += need[1] * tasks;
+                    wanted.entry(job.record.spec.team.clone()).or_default().add((need[0], need[1]), tasks);
                 }
                 continue;
             }
@@ -230,9 +228,7 @@
                     let wait = best.wait_s;
                     if over_limit(*team) {
                         if wait <= 0.0 {
-                            let lack = wanted.entry(job.record.spec.team.clone()).or_default();
-                            lack.0 += need[0];
-                            lack.1 += need[1];
+                            wanted.entry(job.record.spec.team.clone()).or_default().add((need[0], need[1]), 1.0);
                         }
                         waits += 1;
                         full = gang || waits >= MOST_WAITS;
