A service some of whose replicas run gets room in its part

Cause: all replicas of a service are placed by one owner, and while one of them runs the service can't move. After a zone was lost the part had no machine left where the others of a spread service may go, while other parts had; the leader saw room enough and rented none. The replicas waited for ever.

Change: the leader notes such services and, after 10 s, wants room for one replica in just that part and zone. Room of parts is counted by zone for jobs that must be together or spread, so that they are dealt to parts which can take them.

--- a/src/coordination/buying.rs
+++ b/src/coordination/buying.rs
@@ -6,6 +6,7 @@
 use super::*;
 use crate::bookkeeping::records::{FleetRecord, FLEET_KEY, LEADER_KEY};
 use crate::protocol::cloud::RENT_LIMIT;
+use std::collections::HashMap;
 
 /// For how long a machine is paid for, usually.
 const PAID_FOR_S: f64 = 300.0;
@@ -36,6 +37,18 @@
             && (demand.spot || !spot)
     }
 
+    /// True if the machine may do work of the group.
+    pub(super) fn serves(&self, demand: &Demand, name: &MachineId, m: &Owned) -> bool {
+        demand.part.is_none_or(|part| self.part_of(name) == part) && self.suits(demand, &m.kind, &m.zone, m.spot)
+    }
+
+    /// True if a task that takes so much fits beside what is used of the machine.
+    fn has_room(&self, m: &Owned, used: [f64; 3], need: &[f64; 3]) -> bool {
+        let Some(t) = self.catalog.get(&m.kind) else { return false };
+        let all = [t.cpus, t.gpus, t.mem_gb];
+        all.iter().zip(used).zip(need).all(|((all, used), need)| used + need <= all + 1e-6)
+    }
+
     /// Cores missing per group, after each took what suits it, and cores spare.
     pub(super) fn missing(
         &self,
@@ -49,12 +62,19 @@
             .filter(|(name, m)| !m.failed && !m.leaving && !m.deaf && !self.draining(name))
             .filter_map(|(name, m)| Some((name.clone(), self.counted_cpus(m)?)))
             .collect();
+        let by_part = demand.iter().any(|group| group.part.is_some());
+        let taken = if by_part { self.taken() } else { HashMap::default() };
         let mut lacks = vec![];
         for group in demand {
-            let mut lack = wanted(group) * 1.05;
+            // Whoever needs room in one part needs it whole, and no more of it.
+            let mut lack = wanted(group) * if group.part.is_some() { 1.0 } else { 1.05 };
             for (name, cpus) in &mut left {
                 let m = &self.cloud.machines[name];
-                if lack > 0.0 && self.suits(group, &m.kind, &m.zone, m.spot) {
+                if lack > 0.0 && self.serves(group, name, m) {
+                    let used = taken.get(name).copied().unwrap_or_default();
+                    if group.part.is_some() && !self.has_room(m, used, &group.shape) {
+                        continue;
+                    }
                     let take = cpus.min(lack);
                     *cpus -= take;
                     lack -= take;
--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -33,6 +33,8 @@
     pub(super) types: Option<Vec<String>>,
     pub(super) zone: Option<String>,
     pub(super) spot: bool,
+    /// Only machines of this part will do, and only with room for a whole task.
+    pub(super) part: Option<PartId>,
 }
 
 /// Standard deviation of the cores that jobs keep busy which come by chance,
@@ -94,6 +96,7 @@
                 types: spec.types.clone(),
                 zone: spec.zone.clone(),
                 spot: spec.spot,
+                part: None,
             });
             group.cpus += cpus;
             if !spec.spot || self.pressing(job, left, ahead) {
@@ -124,8 +127,9 @@
             group.cpus += self.reserve(each) * f64::from(self.parts);
         }
         let mut demand: Vec<Demand> = groups.into_values().filter(|d| d.cpus > 0.0).collect();
+        demand.extend(self.stranded_demand());
         // The most constrained first: they take the machines that suit them.
-        demand.sort_by_key(|d| (d.types.is_none(), d.zone.is_none(), d.spot));
+        demand.sort_by_key(|d| (d.part.is_none(), d.types.is_none(), d.zone.is_none(), d.spot));
         demand
     }
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -3,6 +3,7 @@
 
 use super::boots::Boots;
 use super::demand::Demand;
+use super::stranded::Stranded;
 use super::*;
 use crate::bookkeeping::records::TaskRecord;
 use crate::protocol::cloud::{Listed, ListedState};
@@ -71,6 +72,7 @@
     /// All that were returned of late, and when: lists that lag still name them,
     /// and the record has no room for as many as a shrinking fleet returns.
     left: BTreeMap<MachineId, Time>,
+    pub(super) stranded: Stranded,
 }
 
 impl Fleet {
@@ -129,6 +131,7 @@
         self.learn_boots();
         let busy = self.busy_machines();
         self.note_idle(&busy);
+        self.note_stranded();
         let demand = self.demand();
         self.log_fleet(&demand);
         if !self.cloud.renting {
--- a/src/coordination/leading.rs
+++ b/src/coordination/leading.rs
@@ -34,11 +34,36 @@
     /// Tasks of the job, up to `most`, that the part could start now; with
     /// `take`, their room is booked.
     fn tasks(&mut self, part: PartId, record: &JobRecord, most: usize, take: bool) -> usize {
+        let spec = &record.spec;
+        if !spec.one_zone && !spec.apart {
+            return self.tasks_in(None, part, record, most, take);
+        }
+        let machines = self.parts.get(part.0 as usize).into_iter().flatten();
+        let zones: BTreeSet<&str> = machines.map(|at| at.zone).collect();
+        // Of tasks that must be spread, at most half may be in one zone.
+        let each = if spec.apart { most.min(spec.tasks.div_ceil(2) as usize) } else { most };
+        if spec.one_zone {
+            let best = zones.into_iter().max_by_key(|zone| self.tasks_in(Some(zone), part, record, each, false));
+            return best.map_or(0, |zone| self.tasks_in(Some(zone), part, record, each, take));
+        }
+        zones.into_iter().fold(0, |sum, zone| sum + self.tasks_in(Some(zone), part, record, each.min(most - sum), take))
+    }
+
+    /// The same, in this zone if one is named.
+    pub(super) fn tasks_in(
+        &mut self,
+        zone: Option<&str>,
+        part: PartId,
+        record: &JobRecord,
+        most: usize,
+        take: bool,
+    ) -> usize {
         let spec = &record.spec;
         let need = [spec.cpus, spec.gpus, spec.mem_gb];
         let mut count = 0;
         let Some(machines) = self.parts.get_mut(part.0 as usize) else { return 0 };
-        for at in machines.iter_mut().filter(|m| Room::suits(m, record)) {
+        let there = |at: &&mut RoomAt| Room::suits(at, record) && zone.is_none_or(|zone| zone == at.zone);
+        for at in machines.iter_mut().filter(there) {
             if count >= most {
                 break;
             }
@@ -77,7 +102,7 @@
         }
     }
 
-    fn room(&self) -> Room<'_> {
+    pub(super) fn room(&self) -> Room<'_> {
         // Our own parts' wishes are newer than what is durable.
         let used = self.taken();
         let mut parts: Vec<Vec<RoomAt>> = (0..self.parts).map(|_| vec![]).collect();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -31,6 +31,7 @@
 pub mod scoring;
 mod seats;
 mod starting;
+mod stranded;
 mod upgrade;
 mod users;
 mod waiting;
--- a/src/coordination/returning.rs
+++ b/src/coordination/returning.rs
@@ -55,9 +55,9 @@
         let (lacks, spare) = self.missing(demand, |d| d.cpus);
         // Machines that suit work without room are kept; others are not: they
         // may be what keeps the cloud from having any that would do.
-        let lacking = |m: &Owned| {
+        let lacking = |name: &MachineId, m: &Owned| {
             let mut groups = demand.iter().zip(&lacks);
-            groups.any(|(group, lack)| *lack > 0.5 && self.suits(group, &m.kind, &m.zone, m.spot))
+            groups.any(|(group, lack)| *lack > 0.5 && self.serves(group, name, m))
         };
         let idle_for = Span::secs(self.tuning.idle_s);
         let mut surplus: f64 = spare.values().sum();
@@ -87,7 +87,7 @@
             let in_use = load(name) / t.cpus;
             let margin = if owned.spot { wanted * 0.1 } else { t.cpus * 0.25 };
             let dear = settled && !owned.spot && in_use < 0.6 && surplus >= t.cpus + margin;
-            let unneeded = !lacking(owned) && (idle && surplus >= t.cpus || dear);
+            let unneeded = !lacking(name, owned) && (idle && surplus >= t.cpus || dear);
             if owned.failed || stuck || unneeded {
                 if unneeded {
                     surplus -= t.cpus;
--- /dev/null
+++ b/src/coordination/stranded.rs
@@ -0,0 +1,97 @@
+//! Services some of whose replicas run while their part has no room for the rest.
+//!
+//! All replicas of a service are placed by one owner, that of its part, and while one
+//! of them runs the service can't move. If machines of a zone are lost, the part may
+//! have none left where the others may go, though other parts have: those replicas
+//! would wait for ever beside room. So the leader rents for them until a machine of
+//! that part has come. Names, and so parts, are the cloud's choice; a machine of another part
+//! is used there or given back.
+
+use super::demand::Demand;
+use super::*;
+use crate::bookkeeping::records::TaskRecord;
+use crate::bookkeeping::view::Job;
+use crate::protocol::users::JobKind;
+
+/// Room that comes free by itself within this time needs no machine.
+const PATIENCE: Span = Span(10_000);
+
+/// Services rented for at the same time.
+const MOST: usize = 8;
+
+/// Since when, as seen by this leader, and in which zone each needs room.
+#[derive(Debug, Default)]
+pub(super) struct Stranded(BTreeMap<JobRef, (Time, Option<String>)>);
+
+impl Core {
+    /// Looks at services that wait beside replicas that run.
+    pub(super) fn note_stranded(&mut self) {
+        let waits = |job: &Job| {
+            let (done, on) = job.counts();
+            let service = job.record.spec.kind == JobKind::Standing && job.record.end.is_none();
+            service && on > 0 && done + on < job.record.spec.tasks
+        };
+        let jobs = || self.view.active.iter().filter_map(|id| Some((id, self.view.jobs.get(id)?)));
+        let waiting: Vec<(&JobRef, &Job)> = jobs().filter(|(_, job)| waits(job)).collect();
+        let mut stranded = BTreeMap::new();
+        if !waiting.is_empty() {
+            let mut room = self.room();
+            for (id, job) in waiting {
+                let Some(part) = job.part_of(0) else { continue };
+                let zones = self.open_zones(job);
+                let record = &job.record;
+                if zones.iter().any(|zone| room.tasks_in(Some(zone), part, record, 1, false) > 0) {
+                    continue;
+                }
+                let since = self.cloud.stranded.0.get(id).map_or(self.now, |(since, _)| *since);
+                stranded.insert(id.clone(), (since, zones.into_iter().next()));
+            }
+        }
+        self.cloud.stranded.0 = stranded;
+    }
+
+    /// Zones in which one more replica may be beside those that run, the emptiest first.
+    fn open_zones(&self, job: &Job) -> Vec<String> {
+        let spec = &job.record.spec;
+        let mut on: BTreeMap<&str, usize> = BTreeMap::new();
+        for task in job.slices().iter().filter_map(|s| s.newest()).flat_map(|r| &r.tasks) {
+            let TaskRecord::On(_, machine) = task else { continue };
+            if let Some(owned) = self.cloud.machines.get(machine) {
+                *on.entry(&owned.zone).or_default() += 1;
+            }
+        }
+        let half = spec.tasks.div_ceil(2) as usize;
+        let at = |zone: &str| on.get(zone).copied().unwrap_or(0);
+        let sold: BTreeSet<&String> = self.catalog.values().flat_map(|t| &t.zones).collect();
+        let mut open: Vec<String> = sold
+            .into_iter()
+            .filter(|zone| spec.zone.as_ref().is_none_or(|only| only == *zone))
+            .filter(|zone| !spec.one_zone || on.keys().all(|used| used == zone))
+            .filter(|zone| !spec.apart || at(zone) < half)
+            .cloned()
+            .collect();
+        open.sort_by_key(|zone| at(zone));
+        open
+    }
+
+    /// What they want: room for one replica each, in their part.
+    pub(super) fn stranded_demand(&self) -> Vec<Demand> {
+        let long = self.cloud.stranded.0.iter().filter(|(_, (since, _))| self.now.since(*since) > PATIENCE);
+        let demand = long.filter_map(|(id, (_, zone))| {
+            let job = self.view.jobs.get(id)?;
+            let spec = &job.record.spec;
+            Some(Demand {
+                cpus: spec.cpus,
+                urgent: spec.cpus,
+                shape: [spec.cpus, spec.gpus, spec.mem_gb],
+                fetch_gb: spec.cpus * spec.image_gb,
+                run_s: spec.cpus,
+                types: spec.types.clone(),
+                zone: zone.clone(),
+                spot: spec.spot,
+                part: Some(job.part_of(0)?),
+            })
+        });
+        demand.take(MOST).collect()
+    }
+}
