The door is strict and knows what was accepted; a test for each further meeting

Cause: a submission that lacked `gpus`, `one_zone`, `apart`, `driftwood`, `mark_s` or `stow_s` was taken with a default; of duplicate keys the last counted. A repeat of an accepted job whose body would be refused now got 400 or 422, also at a node whose records lagged. A service that must be spread, but may only be in one zone, was accepted and never ran whole.

Change: submissions have a form of their own, stricter than that of records, which stay readable whatever they lack. A 400 with a readable id, and every 422, is given only after reads that show that the job isn't there; without the state service it is 503 with when to come back. What needs two zones and has one is 422.

Tests: the stand-in brings about machines that reach no controller, jobs called off at once with machines that hang, jobs called off, asked about and sent again as they end, odd requests, reports held back, slow links, cut zones, zones that lose machines, and ends of whoever leads. `tests/meetings` is a folder, with eleven new meetings; all join the generated test of two or three. Jobs of tests name all required fields now (`standin::users::job_spec`): those that lacked some were what the protocol calls malformed; their assertions are as before.

--- a/src/coordination/calls.rs
+++ b/src/coordination/calls.rs
@@ -50,6 +50,7 @@
         job: JobRef,
         known: bool,
     },
+    Refusing(refusing::Refusing),
     /// Names of a submission, one after the other.
     Names(following::Names),
     /// A job that waiting ones name and that was put away.
@@ -161,6 +162,7 @@
             Pending::SubmitWrite { request, txn, spec } => self.submit_written(request, txn, spec, answer),
             Pending::SubmitRead { request, job, fresh } => self.submit_read(request, job, fresh, answer),
             Pending::Past { request, job, known } => self.past_answer(request, job, known, answer),
+            Pending::Refusing(refusing) => self.looked_before_refusing(refusing, answer),
             Pending::Names(names) => self.name_read(names, answer),
             Pending::LookUp(job) => self.looked_up(job, answer),
             Pending::Probe(questions) => self.probed(questions, answer),
--- a/src/coordination/following.rs
+++ b/src/coordination/following.rs
@@ -9,6 +9,7 @@
 //! it and answered from that at once; its own end is written behind.
 
 use super::chains::Known;
+use super::refusing::Refusal;
 use super::*;
 use crate::bookkeeping::records::{job_key, past_key, Awaits, End, JobRecord, Plan};
 use crate::bookkeeping::urge::Urge;
@@ -40,9 +41,7 @@
     checked: Vec<JobRef>,
     to_check: Vec<JobRef>,
     cancelled: bool,
-    /// Why the submission is refused, if it is: unless the job is known already.
-    refused: Option<String>,
-    /// The last name, or the job itself, is being looked up among those put away.
+    /// The last name is being looked up among those put away.
     past: bool,
 }
 
@@ -203,19 +202,19 @@
             return self.reply(request, Reply::Problem { status: 503, reason: reason.into(), retry_after_s: Some(2) });
         }
         let to_check = spec.awaits.clone();
-        let refused = to_check.contains(&spec.id).then(|| "a job cannot await itself".to_string());
-        let (checked, cancelled, past) = (vec![], false, false);
-        self.check_names(Names { request, spec, checked, to_check, cancelled, refused, past });
+        if to_check.contains(&spec.id) {
+            return self.refuse(request, spec.id, Refusal::impossible("a job cannot await itself"));
+        }
+        self.check_names(Names { request, spec, checked: vec![], to_check, cancelled: false, past: false });
     }
 
     fn check_names(&mut self, mut names: Names) {
         names.past = false;
-        while names.refused.is_none() {
-            let Some(name) = names.to_check.pop() else { break };
+        while let Some(name) = names.to_check.pop() {
             if let Some(job) = self.view.jobs.get(&name) {
                 if job.record.spec.kind == JobKind::Standing {
-                    names.refused = Some(format!("{name} is a service, which is never done"));
-                    break;
+                    let reason = format!("{name} is a service, which is never done");
+                    return self.refuse(names.request, names.spec.id, Refusal::impossible(reason));
                 }
             }
             match Core::known(&self.view, &name) {
@@ -228,10 +227,6 @@
                 Known::Open => names.checked.push(name),
             }
         }
-        if names.refused.is_some() {
-            // Known after all? Then the answer is its state, whatever it names.
-            return self.look_at_name(names);
-        }
         let Names { request, spec, checked, cancelled, .. } = names;
         let record = if cancelled || !checked.is_empty() {
             JobRecord {
@@ -246,74 +241,35 @@
         self.write_submission(request, spec, record);
     }
 
-    /// Reads the name that is next, or the job itself if it is to be refused.
+    /// Reads the name that is next.
     fn look_at_name(&mut self, names: Names) {
-        if !self.afford(names.request, 1.0) {
-            return;
-        }
-        let id = names.asked();
+        let Some(id) = names.to_check.last().filter(|_| self.afford(names.request, 1.0)) else { return };
         let key = if names.past { past_key(id) } else { job_key(id) };
         self.call_state(StateCall::Get { key }, Pending::Names(names));
     }
 
     pub(super) fn name_read(&mut self, mut names: Names, answer: StateAnswer) {
-        let id = names.asked().clone();
+        let Some(id) = names.to_check.last().cloned() else { return };
         match answer {
             StateAnswer::Missing(_) if !names.past => {
                 names.past = true;
                 self.look_at_name(names);
             }
-            StateAnswer::Missing(_) => match names.refused {
-                Some(reason) => self.reply(names.request, Reply::problem(422, &reason)),
-                None => {
-                    names.refused = Some(format!("{id} was never accepted"));
-                    names.past = false;
-                    self.look_at_name(names);
-                }
-            },
-            StateAnswer::Found(_) if names.refused.is_some() => {
-                let record =
+            StateAnswer::Missing(_) => {
+                let reason = format!("{id} was never accepted");
+                self.refuse(names.request, names.spec.id, Refusal::impossible(reason));
+            }
+            StateAnswer::Found(_) => {
+                let read =
                     if names.past { self.take_past(&id, answer).is_some() } else { self.take_job(answer).is_some() };
-                match record {
-                    true => self.answer_job(names.request, 200, &id, None),
-                    false => self.reply(names.request, Reply::later("the job cannot be read")),
+                match read {
+                    true => self.check_names(names),
+                    false => self.reply(names.request, Reply::later("a job it names cannot be read")),
                 }
             }
-            StateAnswer::Found(_) if names.past => match self.take_past(&id, answer) {
-                Some(_) => self.check_names(names),
-                None => self.reply(names.request, Reply::later("a job it names cannot be read")),
-            },
-            StateAnswer::Found(_) => match self.take_job(answer) {
-                Some(_) => self.check_names(names),
-                None => self.reply(names.request, Reply::later("a job it names cannot be read")),
-            },
             _ => self.reply(names.request, Reply::later("the state service does not answer")),
         }
     }
-
-    /// Refuses a submission for good, unless the job is known after all.
-    pub(super) fn refuse(&mut self, request: RequestId, spec: Box<JobSpec>, reason: String) {
-        let (checked, to_check) = (vec![], vec![]);
-        self.look_at_name(Names {
-            request,
-            spec,
-            checked,
-            to_check,
-            cancelled: false,
-            refused: Some(reason),
-            past: false,
-        });
-    }
-}
-
-impl Names {
-    /// What is being looked up.
-    fn asked(&self) -> &JobRef {
-        match (&self.refused, self.to_check.last()) {
-            (None, Some(name)) => name,
-            _ => &self.spec.id,
-        }
-    }
 }
 
 #[cfg(test)]
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,6 +25,7 @@
 mod preempting;
 mod queries;
 mod queue;
+mod refusing;
 mod replicas;
 mod returning;
 mod rounds;
@@ -67,6 +68,11 @@
 #[derive(Debug, Clone)]
 pub enum Ask {
     Submit(Box<JobSpec>),
+    /// A submission that is not a valid one, of a job that may be known all the same.
+    Malformed {
+        id: JobRef,
+        reason: String,
+    },
     Query(JobRef),
     Cancel(JobRef),
     Up,
--- /dev/null
+++ b/src/coordination/refusing.rs
@@ -0,0 +1,108 @@
+//! Submissions that are refused for good.
+//!
+//! A job that was accepted once, by any node and version, stays known: its repeat
+//! gets its state, also when its body would be refused now, and also at a node whose
+//! records lag. So a refusal is given only after reads that show that the job isn't there.
+
+use super::*;
+use crate::bookkeeping::records::{job_key, past_key};
+use crate::protocol::users::JobKind;
+
+/// Why a submission is refused: malformed, or of a job that can never run.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Refusal {
+    pub status: u16,
+    pub reason: String,
+}
+
+impl Refusal {
+    pub fn malformed(reason: impl Into<String>) -> Refusal {
+        Refusal { status: 400, reason: reason.into() }
+    }
+
+    pub fn impossible(reason: impl Into<String>) -> Refusal {
+        Refusal { status: 422, reason: reason.into() }
+    }
+}
+
+/// A refusal on its way, until the reads for it are made.
+#[derive(Debug)]
+pub(super) struct Refusing {
+    request: RequestId,
+    job: JobRef,
+    refusal: Refusal,
+    /// The job is being looked up among those put away.
+    past: bool,
+}
+
+impl Core {
+    /// Refuses a submission, unless its job is known after all.
+    pub(super) fn refuse(&mut self, request: RequestId, job: JobRef, refusal: Refusal) {
+        if self.final_state(&job).is_some() {
+            return self.answer_job(request, 200, &job, None);
+        }
+        if self.view.jobs.contains_key(&job) {
+            return self.ask_view(request, job);
+        }
+        self.look_before_refusing(Refusing { request, job, refusal, past: false });
+    }
+
+    /// What is put away leaves the other key in the same transaction, and never
+    /// comes back: read in this order, the job is missed in neither.
+    fn look_before_refusing(&mut self, refusing: Refusing) {
+        if self.afford(refusing.request, 1.0) {
+            let key = if refusing.past { past_key(&refusing.job) } else { job_key(&refusing.job) };
+            self.call_state(StateCall::Get { key }, Pending::Refusing(refusing));
+        }
+    }
+
+    pub(super) fn looked_before_refusing(&mut self, refusing: Refusing, answer: StateAnswer) {
+        let Refusing { request, job, refusal, past } = refusing;
+        match answer {
+            StateAnswer::Missing(_) if !past => {
+                self.look_before_refusing(Refusing { request, job, refusal, past: true });
+            }
+            StateAnswer::Missing(_) => {
+                tracing::info!("submission of {job} is refused with {}: {}", refusal.status, refusal.reason);
+                self.reply(request, Reply::problem(refusal.status, &refusal.reason));
+            }
+            StateAnswer::Found(_) => {
+                let known = if past { self.take_past(&job, answer).is_some() } else { self.take_job(answer).is_some() };
+                match known {
+                    true => self.answer_job(request, 200, &job, None),
+                    false => self.reply(request, Reply::later("the job cannot be read")),
+                }
+            }
+            _ => self.reply(request, Reply::later("the state service does not answer")),
+        }
+    }
+
+    /// Why a job can never run, if so. Everything that a task needs must come together
+    /// in one machine type, in a zone that sells it; all replicas of a service at once.
+    pub(super) fn impossible(&self, spec: &JobSpec) -> Option<&'static str> {
+        let Some(team) = self.settings.cluster.teams.iter().find(|t| t.name == spec.team) else {
+            return Some("unknown team");
+        };
+        let fitting = self.catalog.values().filter(|t| {
+            spec.types.as_ref().is_none_or(|allowed| allowed.contains(&t.name))
+                && t.cpus >= spec.cpus
+                && t.gpus >= spec.gpus
+                && t.mem_gb >= spec.mem_gb
+        });
+        let allowed = |zone: &&String| spec.zone.as_ref().is_none_or(|only| only == *zone);
+        let zones: BTreeSet<&String> = fitting.flat_map(|t| &t.zones).filter(allowed).collect();
+        if zones.is_empty() {
+            return Some("a task fits no allowed machine type");
+        }
+        // Tasks of an array may run one after the other.
+        let at_once = if spec.kind == JobKind::Array { 1 } else { spec.tasks };
+        let over = |max: f64, each: f64| max > 0.0 && each * f64::from(at_once) > max + 1e-9;
+        if over(team.cpus_max, spec.cpus) || over(team.gpus_max, spec.gpus) {
+            return Some("more than the team's limit");
+        }
+        if spec.apart && at_once > 1 && (spec.one_zone || zones.len() < 2) {
+            return Some("the tasks must be spread, and may only be in one zone");
+        }
+        None
+    }
+}
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -1,8 +1,9 @@
 //! Users: submissions, queries and cancellations.
 
+use super::refusing::Refusal;
 use super::*;
 use crate::bookkeeping::records::{job_key, past_key, End, JobRecord, Plan};
-use crate::protocol::users::{JobKind, JobState};
+use crate::protocol::users::JobState;
 
 /// Tries of a cancellation that meets other changes of its job.
 const CANCEL_TRIES: u32 = 4;
@@ -24,6 +25,7 @@
                 self.reply(request, reply);
             }
             Ask::Submit(spec) => self.submit(request, spec),
+            Ask::Malformed { id, reason } => self.refuse(request, id, Refusal::malformed(reason)),
             Ask::Query(job) => self.query(request, job),
             Ask::Cancel(job) => self.cancel(request, job),
         }
@@ -87,7 +89,7 @@
             return self.reply(request, Reply::later("starting"));
         }
         if let Some(reason) = self.impossible(&spec) {
-            return self.reply(request, Reply::problem(422, &reason));
+            return self.refuse(request, spec.id, Refusal::impossible(reason));
         }
         // Acceptance goes first: on credit, as far as the share bears it.
         if self.now < self.retry_state_at || self.reads.level(self.now) < -0.5 * self.reads.per_s() {
@@ -108,7 +110,8 @@
         // With room for its plan, if that comes later, and for its end.
         let plan = if record.plan.is_none() { self.plan_bytes(spec.tasks) } else { 0 };
         if !self.fits(value.to_string().len() + plan + END_BYTES) {
-            return self.refuse(request, spec, "the job and the names it awaits are too large to be kept".into());
+            let reason = "the job and the names it awaits are too large to be kept";
+            return self.refuse(request, spec.id, Refusal::impossible(reason));
         }
         self.reads.force(self.now, 1.0);
         self.writes.force(self.now, 1.0);
@@ -158,29 +161,6 @@
         tasks.div_ceil(self.slice_size(tasks)) as usize * digits + 32
     }
 
-    /// Why a job can never run, if so.
-    fn impossible(&self, spec: &JobSpec) -> Option<String> {
-        let Some(team) = self.settings.cluster.teams.iter().find(|t| t.name == spec.team) else {
-            return Some("unknown team".into());
-        };
-        let fits = self.catalog.values().any(|t| {
-            spec.types.as_ref().is_none_or(|allowed| allowed.contains(&t.name))
-                && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
-                && t.cpus >= spec.cpus
-                && t.gpus >= spec.gpus
-                && t.mem_gb >= spec.mem_gb
-        });
-        if !fits {
-            return Some("a task fits no allowed machine type".into());
-        }
-        let count = if spec.kind != JobKind::Array { f64::from(spec.tasks) } else { 1.0 };
-        let over = |max: f64, each: f64| max > 0.0 && each * count > max + 1e-9;
-        if over(team.cpus_max, spec.cpus) || over(team.gpus_max, spec.gpus) {
-            return Some("more than the team's limit".into());
-        }
-        None
-    }
-
     pub(super) fn submit_written(&mut self, request: RequestId, txn: Txn, spec: Box<JobSpec>, answer: StateAnswer) {
         let key = job_key(&spec.id);
         match answer {
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -1,6 +1,7 @@
 //! What users send and receive.
 
 use crate::units::JobRef;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Deserializer, Serialize};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -26,7 +27,8 @@
     Gang,
 }
 
-/// A job as its user describes it.
+/// A job as its user describes it. This is the form of records, in which what an
+/// earlier version left out has a default; see `JobSpec::parse` for submissions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
     #[serde(rename = "ref")]
@@ -72,6 +74,39 @@
     pub awaits: Vec<JobRef>,
 }
 
+/// Fields without which a submission is malformed, though a record may lack them.
+/// Only what may be null may be missing there.
+#[derive(Deserialize)]
+struct Required {
+    #[serde(rename = "gpus")]
+    _gpus: IgnoredAny,
+    #[serde(rename = "one_zone")]
+    _one_zone: IgnoredAny,
+    #[serde(rename = "apart")]
+    _apart: IgnoredAny,
+    #[serde(rename = "driftwood")]
+    _spot: IgnoredAny,
+    #[serde(rename = "mark_s")]
+    _checkpoint_s: IgnoredAny,
+    #[serde(rename = "stow_s")]
+    _save_s: IgnoredAny,
+}
+
+/// What of a submission that is no valid one tells which job it is about.
+#[derive(Deserialize)]
+struct Named {
+    #[serde(rename = "ref")]
+    id: JobRef,
+}
+
+/// Why a submission is no valid one, and the job that it names if that can be
+/// read: one that was accepted before stays known, whatever its repeat says.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Malformed {
+    pub id: Option<JobRef>,
+    pub reason: String,
+}
+
 /// A list of job ids or null.
 fn job_refs<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<JobRef>, D::Error> {
     let mut refs = Option::<Vec<JobRef>>::deserialize(deserializer)?.unwrap_or_default();
@@ -102,17 +137,23 @@
 }
 
 impl JobSpec {
-    /// Reads and checks a submission; the error is a short reason for its user.
-    pub fn parse(body: &[u8]) -> Result<JobSpec, String> {
-        let value: serde_json::Value = serde_json::from_slice(body).map_err(|_| "the body is not JSON".to_string())?;
-        if !value.is_object() {
+    /// Reads and checks a submission; the error has a short reason for its user.
+    pub fn parse(body: &[u8]) -> Result<JobSpec, Malformed> {
+        JobSpec::read(body).map_err(|mut reason| {
+            reason.truncate(reason.char_indices().nth(160).map_or(reason.len(), |(at, _)| at));
+            let named = serde_json::from_slice::<Named>(body).ok().map(|named| named.id);
+            Malformed { id: named.filter(|id| valid_job_ref(id.as_str())), reason }
+        })
+    }
+
+    fn read(body: &[u8]) -> Result<JobSpec, String> {
+        // A struct would be read from a list of its fields' values too.
+        if body.iter().find(|byte| !byte.is_ascii_whitespace()) != Some(&b'{') {
             return Err("the body is not an object".into());
         }
-        let spec: JobSpec = serde_json::from_value(value).map_err(|e| {
-            let mut reason = e.to_string();
-            reason.truncate(reason.char_indices().nth(160).map_or(reason.len(), |(at, _)| at));
-            reason
-        })?;
+        let invalid = |error: serde_json::Error| error.to_string();
+        let spec: JobSpec = serde_json::from_slice(body).map_err(invalid)?;
+        serde_json::from_slice::<Required>(body).map_err(invalid)?;
         spec.check()?;
         Ok(spec)
     }
--- a/src/transport/routes.rs
+++ b/src/transport/routes.rs
@@ -3,7 +3,7 @@
 use super::events::Asked;
 use super::http::{Connection, HttpError};
 use crate::coordination::{Ask, Reply};
-use crate::protocol::users::{valid_job_ref, JobAnswer, JobSpec};
+use crate::protocol::users::{valid_job_ref, JobAnswer, JobSpec, Malformed};
 use crate::protocol::workers::{GoElsewhere, Report, ReportAnswer};
 use crate::units::JobRef;
 use serde::Serialize;
@@ -46,7 +46,8 @@
         "/v2/runs" => {
             return allow("POST", &|| match JobSpec::parse(body) {
                 Ok(spec) => Routed::Ask(Asked::User(Ask::Submit(Box::new(spec)))),
-                Err(reason) => problem(400, &reason),
+                Err(Malformed { id: Some(id), reason }) => Routed::Ask(Asked::User(Ask::Malformed { id, reason })),
+                Err(Malformed { id: None, reason }) => problem(400, &reason),
             })
         }
         _ => {}
--- a/tests/meetings.rs
+++ b/tests/meetings/main.rs
@@ -2,11 +2,14 @@
 //! the rules. `MEETING_CASES` asks for more cases than are played by default.
 
 #[allow(dead_code)]
+#[path = "../standin/mod.rs"]
 mod standin;
+mod troubles;
 
 use proptest::prelude::*;
 use standin::{Fault, Shape, World};
-use tillercleat::protocol::users::JobSpec;
+use tillercleat::protocol::users::{JobKind, JobSpec};
+use troubles::*;
 
 fn cases(default: u32) -> ProptestConfig {
     let asked = std::env::var("MEETING_CASES").ok().and_then(|text| text.parse().ok());
@@ -27,7 +30,7 @@
         "reckon_s": run_s, "mark_s": 5.0, "stow_s": 4.0,
         "awaits": awaits.map(|n| vec![format!("wk-{n:06}")]).unwrap_or_default()
     });
-    JobSpec::parse(text.to_string().as_bytes()).expect("a valid job")
+    standin::users::job_spec(text)
 }
 
 /// Workers' lease, their reports and the time a cancellation has, as operators set them.
@@ -104,116 +107,6 @@
     }
 }
 
-/// One meeting of the operators' page: what happens, and when.
-type Meeting = Vec<(u64, Fault)>;
-
-fn node() -> impl Strategy<Value = usize> {
-    0usize..3
-}
-
-/// Back at once, or after a while.
-fn back() -> impl Strategy<Value = u64> {
-    prop_oneof![Just(50u64), 100u64..1000, 2000u64..9000]
-}
-
-/// Transactions carried out after newer ones of the same controller, some of which end.
-fn late_transactions() -> impl Strategy<Value = Meeting> {
-    let ends = proptest::collection::vec((0u64..40_000, node(), back()), 0..3);
-    (10u64..80, 8000u64..60_000, ends, proptest::option::of((node(), 3000u64..20_000))).prop_map(
-        |(share, for_ms, ends, cut)| {
-            let mut meeting = vec![(0, Fault::LateWrites { share, for_ms })];
-            meeting.extend(ends.into_iter().map(|(at, node, back_after)| (at, Fault::Crash { node, back_after })));
-            meeting.extend(cut.map(|(node, for_ms)| (4000, Fault::Cut { node, zone: 2, for_ms, hold: false })));
-            meeting
-        },
-    )
-}
-
-/// Leaders and owners change while tasks of the same job end far apart.
-fn changes_of_leader() -> impl Strategy<Value = Meeting> {
-    proptest::collection::vec((0u64..50_000, node(), back()), 2..6).prop_map(|ends| {
-        ends.into_iter().map(|(at, node, back_after)| (at, Fault::Crash { node, back_after })).collect()
-    })
-}
-
-/// A node ends while machines can't be reached or don't hear its successor.
-fn lost_machines() -> impl Strategy<Value = Meeting> {
-    let lost = prop_oneof![
-        (0usize..2, 8000u64..60_000, any::<bool>()).prop_map(|(zone, for_ms, hold)| (0..3usize)
-            .map(|node| (0, Fault::Cut { node, zone, for_ms, hold }))
-            .collect::<Meeting>()),
-        (1usize..4, 8000u64..60_000).prop_map(|(each, for_ms)| vec![(0, Fault::Deaf { each, for_ms })]),
-    ];
-    (lost, proptest::collection::vec((0u64..12_000, node(), back()), 1..3)).prop_map(|(mut lost, ends)| {
-        lost.extend(ends.into_iter().map(|(at, node, back_after)| (at, Fault::Crash { node, back_after })));
-        lost
-    })
-}
-
-/// A node loses the state service and its peers, not its workers and users.
-fn alone() -> impl Strategy<Value = Meeting> {
-    (node(), 2000u64..70_000, proptest::option::of((0u64..40_000, 30_000u64..60_000))).prop_map(
-        |(node, for_ms, gone)| {
-            let mut meeting = vec![(0, Fault::Alone { node, for_ms })];
-            meeting.extend(gone.map(|(at, for_ms)| (at, Fault::StateOutage { node: None, for_ms })));
-            meeting
-        },
-    )
-}
-
-/// Copies of reports from earlier sessions and attempts, also at owners that remember nothing.
-fn old_reports() -> impl Strategy<Value = Meeting> {
-    let ends = proptest::collection::vec((0u64..50_000, node(), back()), 0..3);
-    (20u64..100, 20_000u64..60_000, 4000u64..40_000, 1usize..5, 5000u64..25_000, ends).prop_map(
-        |(share, for_ms, late, each, deaf, ends)| {
-            let mut meeting = vec![(0, Fault::Copies { share, for_ms, late })];
-            meeting.push((3000, Fault::Deaf { each, for_ms: deaf }));
-            meeting.extend(ends.into_iter().map(|(at, node, back_after)| (at, Fault::Crash { node, back_after })));
-            meeting
-        },
-    )
-}
-
-/// The state service is slow, and refuses one node, then all.
-fn slow_state() -> impl Strategy<Value = Meeting> {
-    (300u64..6000, 8000u64..50_000, node(), 0u64..20_000, proptest::option::of(5000u64..60_000)).prop_map(
-        |(most, for_ms, node, at, gone)| {
-            let mut meeting = vec![(0, Fault::SlowState { for_ms, most })];
-            meeting.push((at, Fault::StateOutage { node: Some(node), for_ms: 9000 }));
-            meeting.extend(gone.map(|for_ms| (at + 2000, Fault::StateOutage { node: None, for_ms })));
-            meeting
-        },
-    )
-}
-
-/// Answers are held up, and machines stand still and go on.
-fn held_answers() -> impl Strategy<Value = Meeting> {
-    let hangs = proptest::collection::vec((0u64..40_000, 0usize..20, 1000u64..14_000), 1..6);
-    (1usize..4, 10_000u64..50_000, 1000u64..8000, hangs).prop_map(|(each, for_ms, most, hangs)| {
-        let mut meeting = vec![(0, Fault::HeldAnswers { each, for_ms, most })];
-        meeting.extend(hangs.into_iter().map(|(at, pick, for_ms)| (at, Fault::MachineHangs { pick, for_ms })));
-        meeting
-    })
-}
-
-/// Parts are handed over and back, all end, and one returns within a second.
-fn there_and_back() -> impl Strategy<Value = Meeting> {
-    let moment = proptest::sample::select(standin::Moment::ALL.to_vec());
-    let traps =
-        proptest::collection::vec((0u64..30_000, node(), moment, back(), proptest::option::of(0u64..9000)), 1..5);
-    (traps, proptest::option::of((0u64..30_000, 100u64..900, 2000u64..20_000))).prop_map(|(traps, all)| {
-        let mut meeting: Meeting = vec![];
-        for (at, node, moment, back_after, late) in traps {
-            meeting.push((at, Fault::EndsAt { node, moment, back_after, late }));
-        }
-        if let Some((at, soon, later)) = all {
-            let back = [soon, later, later + 3000];
-            meeting.extend((0..3).map(|node| (at, Fault::Crash { node, back_after: back[node] })));
-        }
-        meeting
-    })
-}
-
 /// Long tasks outlast a lease and what comes before it can be taken for over.
 const LONG_S: f64 = 50.0;
 
@@ -246,6 +139,65 @@
     world.problems()
 }
 
+/// Jobs bound to a zone, in one zone or spread over them, arrays and services.
+fn bound_work(world: &mut World) {
+    for number in 100..118usize {
+        let mut spec = job(number, 2 + number as u32 % 7, [9.0, 30.0][number % 2], None);
+        spec.team = "blue".into();
+        match number % 4 {
+            0 => spec.zone = Some(if number % 8 == 0 { "a" } else { "b" }.into()),
+            1 => spec.one_zone = true,
+            2 => spec.apart = true,
+            _ => (spec.one_zone, spec.apart) = (true, true),
+        }
+        if number % 3 == 0 && number % 4 < 3 {
+            (spec.kind, spec.estimate_s, spec.tasks) = (JobKind::Standing, 0.0, 2 + number as u32 % 3);
+            // Called off at the end; until then it is judged like any other.
+            world.cancel(560_000, &spec.id);
+        }
+        world.submit(3000 + (number as u64 - 100) * 2500, spec);
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(20))]
+    /// Jobs bound to a zone or spread go on once it has machines again, and nothing is
+    /// placed wrong beside the tasks that remain.
+    #[test]
+    fn jobs_bound_to_zones_outlive_their_machines(
+        seed in 1u64..1_000_000, at in 8000u64..60_000, losses in zones_lose_machines(),
+        other in proptest::option::of((0u64..30_000, prop_oneof![cut_zones(), mute_machines(), ten_leaders()])),
+    ) {
+        let mut world = World::sized(seed, Shape { machines: 20, ..Shape::small() });
+        bound_work(&mut world);
+        losses.into_iter().for_each(|(after, fault)| world.fault(at + after, fault));
+        if let Some((later, meeting)) = other {
+            meeting.into_iter().for_each(|(after, fault)| world.fault(at + later + after, fault));
+        }
+        world.run(640_000);
+        prop_assert_eq!(world.problems(), [""; 0]);
+    }
+
+    /// More work than room, urgent and not, while all links and the state service are slow:
+    /// nothing starves, and no machine is bought twice.
+    #[test]
+    fn more_work_than_room_over_slow_links(
+        seed in 1u64..1_000_000, at in 5000u64..40_000, slow in slow_links(), ends in changes_of_leader(),
+    ) {
+        let mut world = World::sized(seed, Shape { machines: 8, ..Shape::small() });
+        work(&mut world, 25.0);
+        for number in 100..124usize {
+            world.submit(5000 + (number as u64 - 100) * 1500, job(number, 12, 12.0, None));
+        }
+        for meeting in [slow, ends] {
+            meeting.into_iter().for_each(|(after, fault)| world.fault(at + after, fault));
+        }
+        world.run(640_000);
+        prop_assert_eq!(world.problems(), [""; 0]);
+        prop_assert!(world.alive() <= 8);
+    }
+}
+
 macro_rules! meeting {
     ($name:ident, $meeting:ident) => {
         proptest! {
@@ -266,6 +218,15 @@
 meeting!(a_slow_state_service_confirms_nothing_on_a_guess, slow_state);
 meeting!(what_is_held_up_starts_nothing_again, held_answers);
 meeting!(parts_go_there_and_back, there_and_back);
+meeting!(ends_of_jobs_meet_their_users, ends_of_jobs);
+meeting!(mute_machines_lose_nothing_but_time, mute_machines);
+meeting!(what_hung_machines_go_on_with_is_over_in_time, hung_machines);
+meeting!(called_off_as_the_state_service_refuses_the_leader, called_off_in_the_gap);
+meeting!(held_reports_prove_nothing, held_reports);
+meeting!(a_team_at_its_limit_stays_there_and_gets_it_back, at_the_limit);
+meeting!(a_zone_that_was_cut_off_comes_back, cut_zones);
+meeting!(ten_leaders_in_two_minutes, ten_leaders);
+meeting!(all_away_for_longer_than_a_lease, all_away);
 
 proptest! {
     #![proptest_config(cases(30))]
@@ -276,6 +237,8 @@
         meetings in proptest::collection::vec((8000u64..50_000, prop_oneof![
             late_transactions(), changes_of_leader(), lost_machines(), alone(),
             old_reports(), slow_state(), held_answers(), there_and_back(),
+            ends_of_jobs(), mute_machines(), hung_machines(), called_off_in_the_gap(), held_reports(),
+            at_the_limit(), cut_zones(), ten_leaders(), all_away(), zones_lose_machines(), slow_links(),
         ]), 2..4),
     ) {
         prop_assert_eq!(judged(seed, clocks, LONG_S, meetings), [""; 0]);
@@ -316,3 +279,23 @@
         assert_eq!(judged(seed, (800, 10_000, 16_000), 25.0, vec![(39_752, meeting)]), [""; 0]);
     }
 }
+
+/// Replicas of a spread service waited for ever for a machine in the other zone: the
+/// machines there were all of other parts, and the service could not move while some of
+/// it ran.
+#[test]
+fn a_spread_service_gets_room_in_its_part_when_a_zone_was_lost() {
+    for seed in 1..7 {
+        let mut world = World::sized(seed, Shape { machines: 30, ..Shape::small() });
+        for number in 0..8usize {
+            let mut spec = job(number, 2, 0.0, None);
+            (spec.team, spec.kind) = ("blue".into(), JobKind::Standing);
+            (spec.apart, spec.zone) = (number % 2 == 0, (number % 2 == 1).then(|| "b".into()));
+            world.cancel(400_000, &spec.id);
+            world.submit(3000 + 200 * number as u64, spec);
+        }
+        world.fault(60_000, Fault::ZoneLoses { zone: 1, each: 1 });
+        world.run(500_000);
+        assert_eq!(world.problems(), [""; 0], "seed {seed}");
+    }
+}
--- a/tests/mixed.rs
+++ b/tests/mixed.rs
@@ -40,6 +40,7 @@
 fn job(number: usize, awaits: &[usize]) -> String {
     json!({"ref": format!("wk-{number:06}"), "haul": "h", "crew": "red", "rig": "array", "rank": "normal", "loads": 5,
         "cores": 1.0, "mem_gb": 1.0, "kit": "k", "image_gb": 0.1, "driftwood": true, "reckon_s": 1.0,
+        "gpus": 0.0, "one_zone": false, "apart": false, "mark_s": 0.0, "stow_s": 0.0,
         "awaits": awaits.iter().map(|n| format!("wk-{n:06}")).collect::<Vec<_>>()})
     .to_string()
 }
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -2,20 +2,24 @@
 //! protocol. It drives controllers' cores in virtual time with crashes, cuts
 //! and delayed messages, and checks the rules by itself.
 
+mod judging;
 mod state;
+pub mod users;
 
+use judging::Waiting;
 use state::Bucket;
 pub use state::StateService;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use tillercleat::coordination::{Ask, CloudAnswer, CloudCall, Core, Input, Output, Reply};
 use tillercleat::protocol::cloud::{Catalog, Listed, ListedState, MachineNames, MachinePage, MachineType};
 use tillercleat::protocol::peer::Note;
 use tillercleat::protocol::state::{Change, StateAnswer, StateCall};
-use tillercleat::protocol::users::{JobSpec, JobState};
+use tillercleat::protocol::users::{JobSpec, JobState, Malformed};
 use tillercleat::protocol::workers::{Command, Report, TaskName, TaskReport, TaskState, Why};
 use tillercleat::settings::{Settings, Tuning};
 use tillercleat::units::{Attempt, CallId, JobRef, MachineId, NodeName, RequestId, Seq, Session, Time, Token};
+use users::Odd;
 
 /// How large a world is, and its limits.
 #[derive(Debug, Clone)]
@@ -205,6 +209,56 @@
         each: usize,
         for_ms: u64,
     },
+    /// These machines (every so many, of a zone or of all) reach no controller.
+    MachinesMute {
+        each: usize,
+        zone: Option<usize>,
+        for_ms: u64,
+    },
+    /// Users call off so many jobs that run and have long to go, within a fifth of a
+    /// second; up to eight of their machines then hang for so long.
+    CancelNow {
+        count: usize,
+        hang_ms: u64,
+    },
+    /// This share of jobs, in percent, is called off, asked about and sent again about
+    /// when its last task ends.
+    CancelAtEnd {
+        share: u64,
+        for_ms: u64,
+    },
+    /// Users repeat submissions, well and badly, cancel what is done, and send jobs that
+    /// fit no machine or lack a field.
+    OddRequests {
+        for_ms: u64,
+    },
+    /// This share of reports, in percent, is held back, and arrives so much later at any node.
+    HeldReports {
+        share: u64,
+        for_ms: u64,
+        most: u64,
+    },
+    /// What is sent between any two takes up to so much longer.
+    SlowLinks {
+        for_ms: u64,
+        most: u64,
+    },
+    /// A zone with its machines and controllers is cut off from all others, the state
+    /// service, and users.
+    ZoneCut {
+        zone: usize,
+        for_ms: u64,
+        hold: bool,
+    },
+    /// All machines of a zone die, or every so many.
+    ZoneLoses {
+        zone: usize,
+        each: usize,
+    },
+    /// Whoever leads ends.
+    LeaderEnds {
+        back_after: u64,
+    },
     /// A node's answers to workers are lost.
     Mute {
         node: usize,
@@ -265,7 +319,10 @@
     /// How long it is a trouble.
     fn lasts(&self) -> u64 {
         match self {
-            Fault::Crash { back_after, .. } | Fault::EndsAt { back_after, .. } => *back_after,
+            Fault::Crash { back_after, .. } | Fault::LeaderEnds { back_after } | Fault::EndsAt { back_after, .. } => {
+                *back_after
+            }
+            Fault::CancelNow { hang_ms, .. } => hang_ms + 400,
             Fault::StateOutage { for_ms, .. }
             | Fault::StateSilence { for_ms, .. }
             | Fault::Cut { for_ms, .. }
@@ -275,9 +332,16 @@
             | Fault::SlowBoots { for_ms, .. }
             | Fault::Deaf { for_ms, .. }
             | Fault::Mute { for_ms, .. }
+            | Fault::MachinesMute { for_ms, .. }
+            | Fault::CancelAtEnd { for_ms, .. }
+            | Fault::OddRequests { for_ms }
+            | Fault::ZoneCut { for_ms, .. }
             | Fault::Alone { for_ms, .. } => *for_ms,
             Fault::Copies { for_ms, late, .. } => for_ms + late,
-            Fault::HeldAnswers { for_ms, most, .. } | Fault::SlowState { for_ms, most } => for_ms + most,
+            Fault::HeldAnswers { for_ms, most, .. }
+            | Fault::HeldReports { for_ms, most, .. }
+            | Fault::SlowLinks { for_ms, most }
+            | Fault::SlowState { for_ms, most } => for_ms + most,
             Fault::LateWrites { for_ms, .. } => for_ms + 12_000,
             _ => 0,
         }
@@ -379,6 +443,13 @@
     Submit(JobSpec, u32),
     Cancel(JobRef, u32),
     Poll(JobRef),
+    /// A question that nobody repeats.
+    Ask(JobRef),
+    Odd(Odd),
+    /// Odd requests go on until then; so many were sent.
+    OddRequests(u64, u64),
+    /// A worker stands still for so long.
+    Hang(usize, u64),
 }
 
 struct Node {
@@ -388,6 +459,8 @@
     still_until: u64,
     mute_until: u64,
     alone_until: u64,
+    /// Until when no user reaches it.
+    hidden_until: u64,
     /// Announces itself as the version before did.
     older: bool,
 }
@@ -409,6 +482,8 @@
     alive: bool,
     hung_until: u64,
     deaf_until: u64,
+    /// Until when it reaches no controller.
+    mute_until: u64,
     /// Until when its answers are held up, and for how long each at the most.
     held: (u64, u64),
     faulty: bool,
@@ -434,8 +509,9 @@
     /// When a question about it was answered last.
     answered: u64,
     done_told: bool,
-    /// When its first task was started.
+    /// When its first task was started, and when the last one so far.
     began: Option<u64>,
+    last_start: u64,
     finished: BTreeSet<u32>,
 }
 
@@ -490,12 +566,25 @@
     copies: (u64, u64, u64),
     late_writes: (u64, u64),
     slow_state: (u64, u64),
+    held_reports: (u64, u64, u64),
+    slow_links: (u64, u64),
+    cancel_at_end: (u64, u64),
+    /// Odd requests that got an answer for good.
+    pub odd_answers: usize,
+    /// Starts after a user was told that their job is cancelled.
+    pub late_starts: usize,
+    /// When work that waits beside room was first seen to, and when all was last judged.
+    waiting: BTreeMap<JobRef, Waiting>,
+    judged: u64,
+    /// Tasks that ended of late: when, on which machine, and of which job.
+    left: VecDeque<(u64, usize, JobRef)>,
     lost_starts: usize,
     last_done: u64,
     /// Jobs whose users ask no more.
     given_up: BTreeSet<JobRef>,
-    /// When the last trouble is over.
+    /// When the last trouble is over of those that have begun, and of all.
     calm_from: u64,
+    over_from: u64,
     /// Rules seen broken.
     pub broken: Vec<String>,
     pub starts: usize,
@@ -504,6 +593,7 @@
 enum Asked {
     /// With whether the job had been accepted when its user asked.
     User(JobRef, &'static str, u32, bool),
+    Odd(Odd),
     Worker(usize, u64),
 }
 
@@ -601,10 +691,19 @@
             copies: (0, 0, 0),
             late_writes: (0, 0),
             slow_state: (0, 0),
+            held_reports: (0, 0, 0),
+            slow_links: (0, 0),
+            cancel_at_end: (0, 0),
+            odd_answers: 0,
+            late_starts: 0,
+            waiting: BTreeMap::new(),
+            judged: 0,
+            left: VecDeque::new(),
             lost_starts: 0,
             last_done: 0,
             given_up: BTreeSet::new(),
             calm_from: 0,
+            over_from: 0,
             broken: vec![],
             starts: 0,
             shape,
@@ -617,6 +716,7 @@
                 still_until: 0,
                 mute_until: 0,
                 alone_until: 0,
+                hidden_until: 0,
                 older: false,
             });
             world.at(world.now, Due::Restart(node));
@@ -645,6 +745,7 @@
             alive: true,
             hung_until: 0,
             deaf_until: 0,
+            mute_until: 0,
             held: (0, 0),
             faulty: false,
             session: 1,
@@ -677,6 +778,7 @@
     }
 
     pub fn fault(&mut self, at: u64, fault: Fault) {
+        self.over_from = self.over_from.max(at + fault.lasts());
         self.at(at, Due::Fault(fault));
     }
 
@@ -703,7 +805,17 @@
         self.check_cancelled();
     }
 
+    /// How much longer the way between two takes.
+    fn link(&mut self) -> u64 {
+        if self.now < self.slow_links.0 {
+            self.random(self.slow_links.1)
+        } else {
+            0
+        }
+    }
+
     fn happen(&mut self, what: Due) {
+        self.judge();
         // What comes to a node that stands still waits, its own ticks first.
         let to = match &what {
             Due::Tick(node, _) | Due::ToNode(node, ..) | Due::Report(node, ..) => Some(*node),
@@ -793,6 +905,7 @@
                     answered: self.now,
                     done_told: false,
                     began: None,
+                    last_start: 0,
                     finished: BTreeSet::new(),
                 });
                 self.ask(Ask::Submit(Box::new(spec)), id, "submit", tries);
@@ -804,20 +917,30 @@
                 self.ask(Ask::Cancel(job.clone()), job, "cancel", tries)
             }
             Due::Poll(job) => self.ask(Ask::Query(job.clone()), job, "poll", 0),
+            Due::Ask(job) => self.ask(Ask::Query(job.clone()), job, "ask", 0),
+            Due::Odd(odd) => self.send_odd(odd),
+            Due::OddRequests(until, number) => {
+                self.odd_request(number);
+                if self.now < until {
+                    let pause = 100 + self.random(900);
+                    self.at(self.now + pause, Due::OddRequests(until, number + 1));
+                }
+            }
+            Due::Hang(worker, for_ms) => self.workers[worker].hung_until = self.now + for_ms,
         }
     }
 
     fn ask(&mut self, ask: Ask, job: JobRef, what: &'static str, tries: u32) {
         let node = self.random_node();
-        if self.nodes[node].core.is_none() {
+        if self.nodes[node].core.is_none() || self.now < self.nodes[node].hidden_until {
             return self.ask_again(job, what, tries);
         }
         self.last_request += 1;
         let id = RequestId(self.last_request);
         let accepted = self.jobs.get(&job).is_some_and(|j| j.accepted);
         self.requests.insert((node, id), Asked::User(job, what, tries, accepted));
-        let life = self.nodes[node].life;
-        self.at(self.now, Due::ToNode(node, life, Input::User(id, ask)));
+        let (life, at) = (self.nodes[node].life, self.now + self.link());
+        self.at(at, Due::ToNode(node, life, Input::User(id, ask)));
     }
 
     fn ask_again(&mut self, job: JobRef, what: &'static str, tries: u32) {
@@ -909,8 +1032,8 @@
         for peer in (0..self.nodes.len()).filter(|p| *p != node) {
             let alone = self.nodes[node].alone_until.max(self.nodes[peer].alone_until);
             if self.now >= self.peers_cut.max(alone) && self.nodes[peer].core.is_some() {
-                let to = self.nodes[peer].life;
-                self.at(self.now + 2, Due::ToNode(peer, to, Input::Note(note.clone())));
+                let (to, link) = (self.nodes[peer].life, self.link());
+                self.at(self.now + 2 + link, Due::ToNode(peer, to, Input::Note(note.clone())));
             }
         }
     }
@@ -1021,6 +1144,7 @@
         for (key, task) in &mut worker.tasks {
             if task.state != TaskState::Exited && task.ends <= now {
                 task.state = TaskState::Exited;
+                self.left.push_back((now, index, key.0.clone()));
                 if worker.faulty || self.mistaken.contains(&key.0) {
                     task.why = Some(Why::Error);
                     continue;
@@ -1072,22 +1196,32 @@
             tasks: tasks.collect(),
         };
         let (node, zone, flight) = (worker.node, worker.zone, worker.seq);
+        if now < worker.mute_until {
+            // No connection opens.
+            return self.at(now + 5000, Due::TryNext(index, flight));
+        }
+        if now < self.held_reports.0 && self.random(100) < self.held_reports.1 {
+            let late = 1000 + self.random(self.held_reports.2);
+            self.at(now + late, Due::Copy(index, report));
+            return self.at(now + 5000, Due::TryNext(index, flight));
+        }
         if now < self.copies.0 && self.random(100) < self.copies.1 {
             let late = 1 + self.random(self.copies.2);
             self.at(now + late, Due::Copy(index, report.clone()));
         }
         self.at(now + 5000, Due::TryNext(index, flight));
-        let life = self.nodes[node].life;
+        let (life, link) = (self.nodes[node].life, self.link());
         match self.cuts.get(&(node, zone)) {
             Some(&(until, true)) if now < until => self.at(until + 1, Due::Report(node, life, index, report)),
             Some(&(until, false)) if now < until => {}
-            _ => self.at(now + 2, Due::Report(node, life, index, report)),
+            _ => self.at(now + 2 + link, Due::Report(node, life, index, report)),
         }
     }
 
     fn replied(&mut self, node: usize, id: RequestId, reply: Reply) {
         match self.requests.remove(&(node, id)) {
             Some(Asked::User(job, what, tries, accepted)) => self.user_answered(job, what, tries, accepted, reply),
+            Some(Asked::Odd(odd)) => self.odd_answered(odd, reply),
             Some(Asked::Worker(worker, flight)) => {
                 if self.now < self.workers[worker].deaf_until.max(self.nodes[node].mute_until) {
                     if let Reply::Commands { commands, .. } = &reply {
@@ -1106,7 +1240,7 @@
                 let at = match self.cuts.get(&(node, zone)) {
                     Some(&(until, true)) if self.now < until => until + 1,
                     Some(&(until, false)) if self.now < until => return,
-                    _ => self.now + 2,
+                    _ => self.now + 2 + self.link(),
                 };
                 self.at(at, Due::Answer(worker, flight, reply, session));
             }
@@ -1162,7 +1296,11 @@
                 let ends = if fails { now + 1000 } else { ends };
                 let ends = if run == 0 { u64::MAX } else { ends };
                 let task = OnMachine { attempt, state: TaskState::Running, why: None, ends };
+                let job = key.0.clone();
                 self.workers[index].tasks.insert(key, task);
+                if now < self.cancel_at_end.0 && self.random(100) < self.cancel_at_end.1 {
+                    self.about_to_end(&job);
+                }
             }
             Command::Stop { task, attempt, .. } => {
                 if let Some(on) = self.workers[index].tasks.get_mut(&(task.job, task.index)) {
@@ -1186,6 +1324,7 @@
         self.starts += 1;
         if let Some(job) = self.jobs.get_mut(&key.0) {
             job.began.get_or_insert(self.now);
+            job.last_start = self.now;
         }
         *self.tries.entry(key.0.clone()).or_default() += 1;
         // Workers act on their leases also while nobody looks.
@@ -1255,6 +1394,7 @@
                 self.broken.push(format!("quota: {} of {limit} at {}", cpus + spec.cpus, self.now));
             }
         }
+        self.late_starts += usize::from(job.cancelled().is_some());
         if job.cancelled().is_some_and(|at| self.now > at + self.shape.cancel_ms) {
             self.broken.push(format!("ran_cancelled: {}/{} starts at {}", key.0, key.1, self.now));
         }
@@ -1286,7 +1426,10 @@
             return;
         };
         match reply {
-            Reply::Job { state, .. } => {
+            Reply::Job { status, state, .. } => {
+                if accepted && status == 201 {
+                    self.broken.push(format!("accepted twice: {id} at {now}"));
+                }
                 if state == JobState::Done && job.finished.len() < job.spec.tasks as usize {
                     self.broken.push(format!("not_done: {id} at {now}"));
                 }
@@ -1359,8 +1502,10 @@
                     let (lost, kept) = std::mem::take(&mut self.requests).into_iter().partition(|(at, _)| at.0 == node);
                     self.requests = kept;
                     for asked in BTreeMap::into_values(lost) {
-                        if let Asked::User(job, what, tries, _) = asked {
-                            self.ask_again(job, what, tries);
+                        match asked {
+                            Asked::User(job, what, tries, _) => self.ask_again(job, what, tries),
+                            Asked::Odd(odd) => self.odd_again(odd),
+                            Asked::Worker(..) => {}
                         }
                     }
                     self.at(now + back_after, Due::Restart(node));
@@ -1403,6 +1548,44 @@
                     worker.deaf_until = now + for_ms;
                 }
             }
+            Fault::MachinesMute { each, zone, for_ms } => {
+                let those = self.workers.iter_mut().filter(|w| w.alive && zone.is_none_or(|z| z == w.zone));
+                those.step_by(each.max(1)).for_each(|w| w.mute_until = now + for_ms);
+            }
+            Fault::CancelNow { count, hang_ms } => self.call_off(count, hang_ms),
+            Fault::CancelAtEnd { share, for_ms } => self.cancel_at_end = (now + for_ms, share),
+            Fault::OddRequests { for_ms } => self.at(now, Due::OddRequests(now + for_ms, now)),
+            Fault::HeldReports { share, for_ms, most } => self.held_reports = (now + for_ms, share, most),
+            Fault::SlowLinks { for_ms, most } => self.slow_links = (now + for_ms, most),
+            Fault::ZoneCut { zone, for_ms, hold } => {
+                let zones = self.shape.zones.len();
+                for node in 0..self.nodes.len() {
+                    let inside = node % zones == zone;
+                    for far in (0..zones).filter(|z| (*z == zone) != inside) {
+                        self.cuts.insert((node, far), (now + for_ms, hold));
+                    }
+                    if inside {
+                        self.silent[node] = (now + for_ms, if hold { for_ms } else { 0 });
+                        (self.nodes[node].alone_until, self.nodes[node].hidden_until) = (now + for_ms, now + for_ms);
+                    }
+                }
+            }
+            Fault::ZoneLoses { zone, each } => {
+                let there = self.workers.iter_mut().filter(|w| w.alive && w.zone == zone);
+                there.step_by(each.max(1)).for_each(|worker| {
+                    worker.alive = false;
+                    worker.tasks.clear();
+                });
+            }
+            Fault::LeaderEnds { back_after } => {
+                let leads = |node: &usize| {
+                    let key = self.state.rows.get("t/l");
+                    key.is_some_and(|row| row.0["node"] == format!("n{node}"))
+                };
+                if let Some(node) = (0..self.nodes.len()).find(leads) {
+                    self.strike(Fault::Crash { node, back_after });
+                }
+            }
             Fault::Mute { node, for_ms } => self.nodes[node].mute_until = now + for_ms,
             Fault::Copies { share, for_ms, late } => self.copies = (now + for_ms, share, late),
             Fault::SlowState { for_ms, most } => self.slow_state = (now + for_ms, most),
--- a/tests/starting.rs
+++ b/tests/starting.rs
@@ -70,7 +70,7 @@
         "one_zone": false, "apart": false, "driftwood": true, "reckon_s": 300.0, "mark_s": 0.0, "stow_s": 0.0,
         "tide_s": null
     });
-    JobSpec::parse(text.to_string().as_bytes()).expect("a valid job")
+    standin::users::job_spec(text)
 }
 
 impl Site {
