The lowest work begins too, however much goes before it

Cause: the order of service is strict.

Change: a job of which nothing has begun for `begin_s` (150 s, an operators' setting) gets one task at the next room that opens in its part, the longest wait first, within a tenth of the part's cores. Nothing is stopped for it, and what has begun waits in its place again.

--- /dev/null
+++ b/src/coordination/aging.rs
@@ -0,0 +1,40 @@
+//! Aging: work of the lowest priority begins too, however much goes before it.
+//!
+//! The order of service is strict, so on a full fleet the jobs at its end would not
+//! begin for as long as higher work comes. A job of which nothing has begun for
+//! `begin_s` therefore gets its first task before others: one task, at the next room that
+//! opens (nothing is stopped for it), the longest wait first, and within a share of the
+//! part's cores, so that no flood of such jobs turns the order round. What has begun
+//! waits in its place again.
+
+use super::*;
+use crate::bookkeeping::view::{Job, Slice};
+use crate::protocol::users::JobKind;
+
+/// Of a part's cores, what first tasks of aged jobs may take.
+const SHARE: f64 = 0.1;
+
+impl Core {
+    /// Of these waiting jobs, which one has waited longest without anything of it begun,
+    /// if that is too long and the part has cores to give it.
+    pub(super) fn aged(&self, part: PartId, order: &[(&JobRef, &Job)]) -> Option<usize> {
+        if self.mine.get(&part).is_none_or(|mine| self.now < mine.next_aged) {
+            return None;
+        }
+        let old = |job: &Job| {
+            let unbegun = job.counts() == (0, 0) && job.slices().iter().all(|s| Slice::tried(s) == 0);
+            job.record.spec.kind != JobKind::Gang && self.age_s(job) > self.tuning.begin_s && unbegun
+        };
+        let aged = order.iter().enumerate().filter(|(_, (_, job))| old(job));
+        aged.min_by_key(|(_, (id, job))| (job.record.since(), *id)).map(|(at, _)| at)
+    }
+
+    /// The first task of an aged job, of so many cores, got room in the part: others wait
+    /// until it has used up its share.
+    pub(super) fn began_aged(&mut self, part: PartId, cpus: f64, run_s: f64, cores: f64) {
+        let pause = Span::secs((cpus * run_s / (SHARE * cores).max(1e-3)).min(self.tuning.begin_s));
+        if let Some(mine) = self.mine.get_mut(&part) {
+            mine.next_aged = self.now + pause;
+        }
+    }
+}
--- a/src/coordination/mine.rs
+++ b/src/coordination/mine.rs
@@ -77,6 +77,8 @@
     /// Team resources in use, and those missing for waiting tasks.
     pub used: BTreeMap<String, (f64, f64)>,
     pub wanted: BTreeMap<String, Lack>,
+    /// Before then no job goes before others for having waited long.
+    pub next_aged: Time,
     /// An allowance on its way to another part: what is left until that is known.
     pub giving: Option<AllowanceRecord>,
 }
@@ -102,6 +104,7 @@
             running_since: HashMap::default(),
             used: BTreeMap::new(),
             wanted: BTreeMap::new(),
+            next_aged: Time(0),
             giving: None,
         }
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,6 +1,7 @@
 //! The core: a state machine without I/O, clocks or randomness. Inputs and
 //! the time go in; what to send, write and answer comes out.
 
+mod aging;
 mod aims;
 mod allowances;
 mod answering;
--- a/src/coordination/rounds.rs
+++ b/src/coordination/rounds.rs
@@ -110,7 +110,7 @@
         // All that waits of ours waits here, if this is all that we own.
         let only = self.mine.len() == 1;
         let waiting = order.iter().filter_map(|place| self.view.jobs.get_index(place.0));
-        let order: Vec<(&JobRef, &Job)> =
+        let mut order: Vec<(&JobRef, &Job)> =
             waiting.filter(|(_, job)| job.idle() > 0 && (only || waits_in(job, part))).collect();
         if order.is_empty() {
             if let Some(mine) = self.mine.get_mut(&part) {
@@ -118,6 +118,11 @@
             }
             return;
         }
+        let aged = self.aged(part, &order).map(|at| {
+            order[..=at].rotate_right(1);
+            order[0].0
+        });
+        let mut began = None;
         let mut places: Vec<(TaskKey, Attempt, MachineId)> = vec![];
         let mut wanted: BTreeMap<String, Lack> = BTreeMap::new();
         let mut used = self.mine.get(&part).map(|m| m.used.clone()).unwrap_or_default();
@@ -259,6 +264,10 @@
                     }
                     // One task at a time shows whether it still fails.
                     full |= suspect && !gang;
+                    if aged == Some(id) {
+                        began = Some((need[0], best.hold_s));
+                        full = true;
+                    }
                     may_start = may_start.saturating_sub(usize::from(attempt.0 == 0));
                     let key = (id.clone(), first + at as u32);
                     places.push((key, Attempt(attempt.0 + 1), seats[best.seat].name.clone()));
@@ -280,6 +289,9 @@
         }
         self.log_part(part, &seats, places.len(), &short);
         drop(seats);
+        if let Some((cpus, run_s)) = began {
+            self.began_aged(part, cpus, run_s, cores);
+        }
         for (key, attempt, machine) in places {
             tracing::debug!("task {}/{} attempt {attempt} to {machine}", key.0, key.1);
             self.set_task(&key, TaskRecord::On(attempt, machine));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -234,6 +234,8 @@
     pub slice_tasks: u32,
     /// Idle time after which a machine is given back.
     pub idle_s: f64,
+    /// Waiting time after which the first task of a job goes before other work.
+    pub begin_s: f64,
     /// Placements decided on in one round at the most.
     pub round_limit: usize,
     /// Threads that the process may have in all.
@@ -250,6 +252,7 @@
             round_ms: 150,
             slice_tasks: 16,
             idle_s: 20.0,
+            begin_s: 150.0,
             round_limit: 96,
             threads: 1800,
             use_lifetimes: true,
@@ -274,6 +277,9 @@
         if !(tuning.idle_s.is_finite() && tuning.idle_s >= 0.0) {
             return wrong("idle_s", "must be 0 or more");
         }
+        if !(tuning.begin_s.is_finite() && tuning.begin_s > 0.0) {
+            return wrong("begin_s", "must be above 0");
+        }
         if !(32..=100_000).contains(&tuning.threads) {
             return wrong("threads", "must lie between 32 and 100000");
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -285,3 +285,25 @@
         assert_eq!(world.problems(), [""; 0], "{limit}");
     }
 }
+
+/// Jobs of the lowest priority began only when higher work no longer filled the fleet:
+/// after five minutes on a recorded day, where the largest have to begin within four.
+#[test]
+fn the_lowest_work_begins_while_higher_work_fills_the_fleet() {
+    let mut world = World::sized(21, Shape { machines: 6, ..Shape::small() });
+    for number in 0..500usize {
+        let mut spec = job(number, 12, 1.0, 14.0, "plain");
+        spec.team = "blue".into();
+        if number % 9 == 4 {
+            (spec.class, spec.priority) = ("rolls".into(), tillercleat::protocol::users::Priority::Low);
+            (spec.tasks, spec.cpus) = (6 + number as u32 % 5, 2.0);
+        }
+        world.submit(3000 + 3000 * number as u64, spec);
+        if number > 170 {
+            break;
+        }
+    }
+    world.run(1_500_000);
+    assert_eq!(world.problems(), [""; 0]);
+    assert!(world.longest_wait() < 240_000, "a job waited {} ms", world.longest_wait());
+}
