What a report proves is tested at the core, where no generated meeting shows it

Taken out one by one, the acknowledged token and the number of the answered report before absence is proof, and the order of reports, were missed by all of `tests/meetings` (14 cases each). Each of the three tests fails without its safeguard and passes with it; they stand in a file of their own beside the module.

--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -255,3 +255,6 @@
         Span(self.0 + other.0)
     }
 }
+
+#[cfg(test)]
+mod tests;
