--- a/src/coordination/workers/tests.rs
+++ b/src/coordination/workers/tests.rs
@@ -14,8 +14,8 @@
     fn new() -> Case {
         let mut core = super::super::tests::core();
         let part = PartId(0);
-        let names = (0..).map(|n| MachineId::new(&format!("i-{n:06}")));
-        let machine = names.filter(|name| core.part_of(name) == part).next().expect("a name");
+        let mut names = (0..).map(|n| MachineId::new(&format!("i-{n:06}")));
+        let machine = names.find(|name| core.part_of(name) == part).expect("a name");
         let record = super::super::tests::record(serde_json::json!({"plan": {"size": 16, "parts": [0]}}));
         let slice = serde_json::json!({"n": 1, "t": [[0, 1, machine]]});
         core.view.apply("t/j/wk-000002", Some(record), Revision(5));
