--- a/src/coordination/aging.rs
+++ b/src/coordination/aging.rs
@@ -21,10 +21,10 @@
         if self.mine.get(&part).is_none_or(|mine| self.now < mine.next_aged) {
             return None;
         }
-        let old = |job: &Job| {
-            let unbegun = job.counts() == (0, 0) && job.slices().iter().all(|s| Slice::tried(s) == 0);
-            job.record.spec.kind != JobKind::Gang && self.age_s(job) > self.tuning.begin_s && unbegun
-        };
+        let unbegun = |job: &Job| job.counts() == (0, 0) && job.slices().iter().all(|s| Slice::tried(s) == 0);
+        // Most are too young: that is known at once.
+        let old =
+            |job: &Job| self.age_s(job) > self.tuning.begin_s && job.record.spec.kind != JobKind::Gang && unbegun(job);
         let aged = order.iter().enumerate().filter(|(_, (_, job))| old(job));
         aged.min_by_key(|(_, (id, job))| (job.record.since(), *id)).map(|(at, _)| at)
     }
