--- a/review/stand_ins/network.py
+++ b/review/stand_ins/network.py
@@ -8,13 +8,15 @@
         self.nodes = nodes  # name -> address of the controller
         self.silent = set()
         self.addresses = {}
-        self.connections = {name: set() for name in nodes}
 
     async def start(self):
         for name in self.nodes:
-            server = await asyncio.start_server(lambda r, w, name=name: self.connect(name, r, w), "127.0.0.1", 0)
-            host, port = server.sockets[0].getsockname()
-            self.addresses[name] = f"{host}:{port}"
+            await self.add(name)
+
+    async def add(self, name):
+        server = await asyncio.start_server(lambda r, w: self.connect(name, r, w), "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        self.addresses[name] = f"{host}:{port}"
 
     async def connect(self, name, reader, writer):
         if name in self.silent:
