--- a/review/stand_ins/http.py
+++ b/review/stand_ins/http.py
@@ -31,7 +31,7 @@
                     # No answer: the connection hangs until the caller gives up.
                     await reader.read(1)
                     break
-                text = json.dumps(value, separators=(",", ":")).encode()
+                text = value if isinstance(value, bytes) else json.dumps(value, separators=(",", ":")).encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n"
                 writer.write(head.encode() + text)
                 await writer.drain()
--- a/review/stand_ins/store.py
+++ b/review/stand_ins/store.py
@@ -35,7 +35,7 @@
         self.rows = {}  # key -> [value, version, lease]
         self.leases = {}  # id -> [ttl_s, ends]
         self.last_lease = 0
-        self.log = []  # (revision, event)
+        self.log = []  # (revision, key, event as JSON)
         self.changed = asyncio.Event()
         self.on_commit = None
 
@@ -43,10 +43,26 @@
         self.limits = limits
         self.requests, self.writes = Bucket(limits["rps"]), Bucket(limits["write_rps"])
 
-    async def start(self):
-        self.server, self.address = await http.serve(self.handle)
+    async def start(self, nodes):
+        """Serves each controller at an address of its own, so that a single one can be refused."""
+        self.refused, self.addresses = set(), {}
+        for node in nodes:
+            server, self.addresses[node] = await http.serve(lambda *request, node=node: self.handle_for(node, *request))
+        server, self.address = await http.serve(self.handle)
         self.expiry = asyncio.create_task(self.expire_leases())
 
+    def address_for(self, node):
+        return self.addresses.get(node, self.address)
+
+    async def handle_for(self, node, method, target, body):
+        if node in self.refused:
+            if not target.startswith("/changes"):
+                return 503, {"error": "refused"}
+            # Its open watches wait as they do in an outage.
+            while node in self.refused:
+                await asyncio.sleep(0.02)
+        return await self.handle(method, target, body)
+
     async def expire_leases(self):
         while True:
             await asyncio.sleep(0.02)
@@ -64,7 +80,8 @@
                 self.log_event({"drop": key, "stamp": self.revision})
 
     def log_event(self, event):
-        self.log.append((self.revision, event))
+        text = json.dumps(event, separators=(",", ":")).encode()
+        self.log.append((self.revision, event.get("put") or event.get("drop"), text))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -123,10 +140,10 @@
             if len(self.log) > MAX_LOGGED and self.log[-MAX_LOGGED][0] > after + 1:
                 return 410, {"error": "too old"}
             start = bisect.bisect_right(self.log, after, key=lambda entry: entry[0])
-            news = [e for _, e in self.log[start:] if (e.get("put") or e.get("drop")).startswith(prefix)]
+            news = [text for _, key, text in self.log[start:] if key.startswith(prefix)]
             left = until - time.monotonic()
             if news or left <= 0:
-                return 200, {"logline": self.revision, "news": news}
+                return 200, b'{"logline":%d,"news":[%s]}' % (self.revision, b",".join(news))
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
--- a/review/stand_ins/world.py
+++ b/review/stand_ins/world.py
@@ -88,14 +88,14 @@
         print(f"{self.now():.1f} s: {rule} broken: {fields}", flush=True)
 
     async def open(self):
-        await self.store.start()
+        await self.store.start(self.names)
         await self.cloud.start()
         await self.network.start()
 
     def settings(self, name):
         known = [{"label": other, "domain": "tartu", "address": self.peers[other]} for other in self.names if other != name]
         return {"label": name, "domain": "tartu", "client_listen": self.nodes[name], "internal_addr": self.peers[name],
-                "known": known, "external": {"cloud": self.cloud.address, "state": self.store.address},
+                "known": known, "external": {"cloud": self.cloud.address, "state": self.store.address_for(name)},
                 "cluster": {"nodes": len(self.names), **self.cluster}}
 
     def start(self, name):
