Believe a task's exit only in a heartbeat that names the owner's token

All controllers are away for longer than the workers' lease, tasks fail meanwhile, and a copy of a heartbeat from before reaches the last controller that returns, before any other heartbeat of the machine.

Cause: once a worker's lease has ended, the same attempt is started on the same machine again, in the next agent epoch. Attempt and machine then name two runs, and record_exit took the exit of the first for that of the second. Owners drop heartbeats older than the newest one they know; a new owner knows none. Absence counts only in a heartbeat that names the owner's token, exits did not need it.

Why this fix works: a worker that names the token carries out no command of an earlier owner any more. If the attempt was started again after such a heartbeat, this owner did so in the response to a heartbeat of a later epoch, which it knows, so the earlier one is dropped. A token is the revision of one claim under the lease of one process, so two lives never share it. Workers repeat exits until told to forget them, so none is lost: an owner learns of them with the second heartbeat.

The simulated cluster lets tasks fail once at a given time, and keeps copies of heartbeats for the next owner of a shard.

--- a/src/coordination/heartbeats/handling/tests.rs
+++ b/src/coordination/heartbeats/handling/tests.rs
@@ -1,10 +1,10 @@
-//! When a heartbeat proves that a task is absent from its machine.
+//! When a heartbeat proves that a task is absent from its machine or has exited.
 
 use super::*;
 use crate::coordination::shards::owned_shard::TaskKey;
-use crate::protocol::workers::HeartbeatId;
+use crate::protocol::workers::{ExitReason, HeartbeatId, TaskName, TaskStatus};
 use crate::storage::records::{FleetRecord, TaskRecord};
-use crate::units::{FencingToken, JobId, MachineId, Revision};
+use crate::units::{Attempt, FencingToken, JobId, MachineId, Revision};
 
 /// An owner of shard 0 with a task placed on a machine that is being drained.
 struct Case {
@@ -34,23 +34,40 @@
 
     /// Handles a heartbeat without tasks. Returns true if the task is still placed on the machine afterwards.
     fn is_placed_after(&mut self, heartbeat_number: u64, token: u64) -> bool {
+        self.handle(heartbeat_id(1, heartbeat_number), token, vec![]);
+        matches!(self.core.desired_task(&self.key), Some(TaskRecord::Placed(..)))
+    }
+
+    /// Handles a heartbeat that lists the task in this state. Returns the task's state afterwards.
+    fn task_after(&mut self, id: HeartbeatId, token: u64, state: TaskState, exit: Option<ExitReason>) -> TaskRecord {
+        let task = TaskName { job: self.key.0.clone(), index: self.key.1 };
+        let attempt = Attempt(1);
+        let status = TaskStatus { task, attempt, state, exit_reason: exit, checkpoint_saved: None };
+        self.handle(id, token, vec![status]);
+        self.core.desired_task(&self.key).cloned().expect("a task of the shard")
+    }
+
+    fn handle(&mut self, id: HeartbeatId, token: u64, tasks: Vec<TaskStatus>) {
         let heartbeat = Heartbeat {
             machine: self.machine.clone(),
             addr: String::new(),
             machine_type: "m".into(),
             zone: "a".into(),
             spot: false,
-            agent_epoch: AgentEpoch(1),
-            heartbeat_number: HeartbeatNumber(heartbeat_number),
+            agent_epoch: id.agent_epoch,
+            heartbeat_number: id.heartbeat_number,
             token: FencingToken(token),
             termination_notice_s: None,
-            tasks: vec![],
+            tasks,
         };
-        self.core.handle_heartbeat(RequestId(heartbeat_number), heartbeat);
-        matches!(self.core.desired_task(&self.key), Some(TaskRecord::Placed(..)))
+        self.core.handle_heartbeat(RequestId(id.heartbeat_number.0), heartbeat);
     }
 }
 
+fn heartbeat_id(agent_epoch: u64, heartbeat_number: u64) -> HeartbeatId {
+    HeartbeatId { agent_epoch: AgentEpoch(agent_epoch), heartbeat_number: HeartbeatNumber(heartbeat_number) }
+}
+
 /// A heartbeat that was sent before an earlier owner's start command may reach the next owner late. The task counts as
 /// present on the machine until the worker has acknowledged the new token.
 #[test]
@@ -70,8 +87,7 @@
     let shard = ShardId(0);
     let machine =
         case.core.owned_shards.get_mut(&shard).and_then(|m| m.machines.get_mut(&case.machine)).expect("a machine");
-    let sent_with = HeartbeatId { agent_epoch: AgentEpoch(1), heartbeat_number: HeartbeatNumber(5) };
-    machine.starts_sent.insert(case.key.clone(), sent_with);
+    machine.starts_sent.insert(case.key.clone(), heartbeat_id(1, 5));
     assert!(case.is_placed_after(5, 9), "the start was sent in response to this heartbeat");
     assert!(case.is_placed_after(3, 9), "an older duplicate");
     assert!(!case.is_placed_after(6, 9));
@@ -91,3 +107,29 @@
         (HeartbeatNumber(7), MonotonicTime(1000), false)
     );
 }
+
+/// Guards against a second start of a running task (`ran_twice`): the first heartbeat that a new owner received was a late
+/// one of an earlier epoch, and its exit was taken for the exit of the same attempt's run in the current epoch.
+#[test]
+fn an_exit_in_a_late_heartbeat_of_an_earlier_epoch_does_not_end_the_restarted_attempt() {
+    use TaskState::{Exited, Running};
+    for reason in [ExitReason::Failed, ExitReason::Stopped, ExitReason::InsufficientResources, ExitReason::Done] {
+        let mut case = Case::new();
+        let placed = TaskRecord::Placed(Attempt(1), case.machine.clone());
+        let exited = Some(reason);
+        assert_eq!(case.task_after(heartbeat_id(1, 12), 7, Exited, exited), placed, "{reason:?}: late heartbeat");
+        assert_eq!(
+            case.task_after(heartbeat_id(2, 30), 8, Running, None),
+            placed,
+            "{reason:?}: token of a predecessor"
+        );
+        assert_eq!(case.task_after(heartbeat_id(2, 31), 9, Running, None), placed, "{reason:?}: this owner's token");
+        assert_eq!(
+            case.task_after(heartbeat_id(1, 13), 9, Exited, exited),
+            placed,
+            "{reason:?}: older than the newest"
+        );
+        let after_exit = if reason == ExitReason::Done { TaskRecord::Done } else { TaskRecord::Pending(Attempt(1)) };
+        assert_eq!(case.task_after(heartbeat_id(2, 32), 9, Exited, exited), after_exit, "{reason:?}");
+    }
+}
--- a/src/coordination/heartbeats/reconciliation.rs
+++ b/src/coordination/heartbeats/reconciliation.rs
@@ -40,9 +40,7 @@
 impl Core {
     /// Applies the task exits in a heartbeat and returns the commands for its worker, at most [`MAX_COMMANDS`].
     pub(super) fn reconcile(&mut self, shard: ShardId, heartbeat: &Heartbeat) -> Vec<Command> {
-        for task in heartbeat.tasks.iter().filter(|task| task.state == TaskState::Exited) {
-            self.record_exit(&heartbeat.machine, task);
-        }
+        self.record_exits(shard, heartbeat);
         let command_for = |task| self.command_for_reported_task(shard, &heartbeat.machine, task);
         let mut commands: Vec<Command> = heartbeat.tasks.iter().filter_map(command_for).collect();
         let max_starts = MAX_COMMANDS.saturating_sub(commands.len());
@@ -166,6 +164,29 @@
         }
     }
 
+    /// Records the task exits in a heartbeat of a worker that has seen this owner's fencing token.
+    ///
+    /// After the end of an agent epoch the same attempt is started again on the same machine, so attempt and machine
+    /// don't identify a run. A heartbeat of an earlier epoch may reach a new owner late and before any other of the
+    /// machine. Once the worker has seen the token, only this owner can have started the attempt again, and then it
+    /// knows a newer heartbeat and has dropped this one. Workers repeat exits, so none is missed.
+    fn record_exits(&mut self, shard: ShardId, heartbeat: &Heartbeat) {
+        let is_exited = |task: &&TaskStatus| task.state == TaskState::Exited;
+        let exits: Vec<&TaskStatus> = heartbeat.tasks.iter().filter(is_exited).collect();
+        let machine = self.owned_shards.get(&shard).and_then(|owned| owned.machines.get(&heartbeat.machine));
+        if !exits.is_empty() && !machine.is_some_and(|machine| machine.token_acknowledged) {
+            tracing::debug!(
+                machine = %heartbeat.machine, agent_epoch = %heartbeat.agent_epoch,
+                heartbeat_number = %heartbeat.heartbeat_number, token = %heartbeat.token, exits = exits.len(),
+                "ignored task exits: the worker has not seen this owner's token"
+            );
+            return;
+        }
+        for task in exits {
+            self.record_exit(&heartbeat.machine, task);
+        }
+    }
+
     /// Updates the desired state of a task that has exited. Heartbeats repeat the exit until it is durable; only the
     /// first one has an effect.
     fn record_exit(&mut self, machine: &MachineId, task: &TaskStatus) {
--- a/tests/coinciding_faults/scenarios.rs
+++ b/tests/coinciding_faults/scenarios.rs
@@ -266,6 +266,25 @@
     )
 }
 
+/// All controllers are down for longer than a lease and return one after the other, while tasks fail whose
+/// failure nobody hears of. Copies of the heartbeats that list the failures are the first that later owners
+/// receive of some machines, which are not heard for a while.
+pub fn old_heartbeats_reach_new_owners() -> impl Strategy<Value = Scenario> {
+    let machines = 1usize..4;
+    (12_000u64..30_000, machines.clone(), 0usize..3, 3000u64..15_000, machines, 1000u64..9000).prop_map(
+        |(outage_ms, failed, rotation, pause_ms, unheard, unheard_ms)| {
+            let restart_after = |node: usize| outage_ms + pause_ms * ((node + rotation) % 3) as u64;
+            let crashes = (0..3).map(|node| (0, Fault::Crash { node, restart_after: restart_after(node) }));
+            let copies = Fault::HeartbeatsCopiedToNextOwner { for_ms: 3000, min_delay_ms: outage_ms + 2000 };
+            let mut scenario: Scenario = crashes.collect();
+            scenario.extend([(10, Fault::TasksFail { every_nth: failed }), (20, copies)]);
+            let uplink_lost = Fault::UplinkLost { every_nth: unheard, zone: None, for_ms: unheard_ms };
+            scenario.extend((1..3).map(|nth| (outage_ms + nth * pause_ms, uplink_lost.clone())));
+            scenario
+        },
+    )
+}
+
 /// Zones lose all or some of their machines, in some runs while nodes crash.
 pub fn zones_lose_machines() -> impl Strategy<Value = Scenario> {
     let losses = proptest::collection::vec((0u64..40_000, 0usize..2, 1usize..4), 1..4);
--- a/tests/lost_messages.rs
+++ b/tests/lost_messages.rs
@@ -156,6 +156,46 @@
     assert!(with < without + 12_000, "{with} ms with duplicates, {without} without");
 }
 
+/// Guards against a second start of a running task: a new owner first hears of a machine by a heartbeat of an earlier
+/// epoch, in which the attempt that runs there again had failed (review/1).
+#[test]
+fn a_failure_reported_in_an_earlier_epoch_does_not_start_a_running_task_twice() {
+    // The machines have room for twice as much work, so a task that is taken for failed starts elsewhere at once.
+    let config = ClusterConfig { machines: 30, running: 30, ..ClusterConfig::small() };
+    let mut cluster = SimulatedCluster::with_config(3, config);
+    for number in 0..20 {
+        let spec = JobSpec { team: "blue".into(), estimated_run_s: 60.0, ..job(3 * number, 3) };
+        cluster.submit(3000, JobSpec { dependencies: vec![], ..spec });
+    }
+    // The workers' leases of 10 s run out, nodes 0 and 1 start the tasks again, then node 2 takes its shard over, while
+    // half of the machines are not heard for less than a lease.
+    for (node, restart_after) in [(0, 12_000), (1, 12_000), (2, 30_000)] {
+        cluster.inject_fault(15_000, Fault::Crash { node, restart_after });
+    }
+    cluster.inject_fault(15_010, Fault::TasksFail { every_nth: 2 });
+    cluster.inject_fault(15_020, Fault::HeartbeatsCopiedToNextOwner { for_ms: 3000, min_delay_ms: 25_000 });
+    cluster.inject_fault(45_500, Fault::UplinkLost { every_nth: 2, zone: None, for_ms: 5000 });
+    cluster.run(600_000);
+    assert_eq!(cluster.problems(), [""; 0]);
+}
+
+/// Tasks that fail once on several machines, because something around them failed, do not make their long job wait
+/// beside machines with room.
+#[test]
+fn a_long_job_whose_tasks_failed_once_is_not_left_waiting() {
+    let mut cluster = SimulatedCluster::new(3, 10.0);
+    for number in 0..12 {
+        let spec = JobSpec { dependencies: vec![], estimated_run_s: 120.0, ..job(3 * number, 6) };
+        cluster.submit(3000, spec);
+    }
+    for (node, restart_after) in [(0, 12_000), (1, 12_000), (2, 30_000)] {
+        cluster.inject_fault(40_000, Fault::Crash { node, restart_after });
+    }
+    cluster.inject_fault(40_010, Fault::TasksFail { every_nth: 2 });
+    cluster.run(600_000);
+    assert_eq!(cluster.problems(), [""; 0]);
+}
+
 /// All of these faults in a cluster 1.5 times as large as the operators'.
 #[test]
 fn lost_and_duplicated_messages_at_1130_machines_break_no_rule() {
--- a/tests/simulator/events.rs
+++ b/tests/simulator/events.rs
@@ -62,9 +62,10 @@
         worker: usize,
         heartbeat: Heartbeat,
     },
-    /// A delayed or duplicated heartbeat arrives at a random node.
+    /// A delayed, duplicated or copied heartbeat arrives, at a random node if `to` is None.
     DeliverStrayHeartbeat {
         worker: usize,
+        to: Option<usize>,
         heartbeat: Heartbeat,
     },
     DeliverAnswer(WorkerAnswer),
--- a/tests/simulator/faults.rs
+++ b/tests/simulator/faults.rs
@@ -66,6 +66,12 @@
     DelayedHeartbeats { share: u64, for_ms: u64, max_delay_ms: u64 },
     /// This share of heartbeats arrives a second time, at a random controller.
     DuplicatedHeartbeats { share: u64, for_ms: u64, max_delay_ms: u64 },
+    /// Of each worker, the first heartbeat sent during the fault is copied. The copy reaches the next
+    /// controller that becomes the owner of the machine's shard at least `min_delay_ms` later, before most
+    /// heartbeats of the workers themselves.
+    HeartbeatsCopiedToNextOwner { for_ms: u64, min_delay_ms: u64 },
+    /// Every nth running task fails now. Later attempts do not.
+    TasksFail { every_nth: usize },
     /// Users cancel up to `count` jobs with long-running tasks within 200 ms. Up to eight of the
     /// machines that run them hang for `hang_ms`; none if that is 0.
     CancelRunningJobs { count: usize, hang_ms: u64 },
@@ -111,11 +117,13 @@
             | Fault::DelayedHeartbeats { for_ms, max_delay_ms, .. }
             | Fault::SlowLinks { for_ms, max_delay_ms }
             | Fault::SlowStore { for_ms, max_delay_ms } => for_ms + max_delay_ms,
+            Fault::HeartbeatsCopiedToNextOwner { for_ms, min_delay_ms } => for_ms + min_delay_ms,
             Fault::DelayedTransactions { for_ms, .. } => {
                 for_ms + MIN_TRANSACTION_DELAY_MS + TRANSACTION_DELAY_SPREAD_MS
             }
             Fault::MachineDies { .. }
             | Fault::MachineFaulty { .. }
+            | Fault::TasksFail { .. }
             | Fault::ZoneMachinesDie { .. }
             | Fault::StoreLimits { .. }
             | Fault::ControllerVersion { .. } => 0,
--- a/tests/simulator/network.rs
+++ b/tests/simulator/network.rs
@@ -1,4 +1,5 @@
-//! Cuts and delays of links between controllers and workers, and between controllers.
+//! Cuts and delays of links between controllers and workers, and between controllers, and copies of
+//! heartbeats that reach later owners.
 
 use super::events::ScheduledEvent;
 use super::faults::FaultWindow;
@@ -6,6 +7,7 @@
 use std::collections::BTreeMap;
 use tillercleat::coordination::Input;
 use tillercleat::protocol::peer::PeerStatus;
+use tillercleat::protocol::workers::Heartbeat;
 
 /// Minimum latency of a message between two processes (milliseconds).
 pub(super) const LINK_MS: u64 = 2;
@@ -26,6 +28,48 @@
     Lost,
 }
 
+/// Copy of a heartbeat that the network keeps for the next owner of the machine's shard.
+struct CopiedHeartbeat {
+    heartbeat: Heartbeat,
+    /// It is not delivered to owners that took over before this time (milliseconds).
+    not_before: u64,
+}
+
+/// Copies of heartbeats for the next owners of shards.
+#[derive(Default)]
+pub(super) struct CopiedHeartbeats {
+    /// Heartbeats are copied until this time (milliseconds).
+    until: u64,
+    min_delay_ms: u64,
+    /// Keyed by worker.
+    by_worker: BTreeMap<usize, CopiedHeartbeat>,
+}
+
+impl CopiedHeartbeats {
+    /// Starts to copy the first heartbeat of each worker, until the time `until` (milliseconds).
+    pub(super) fn start(&mut self, until: u64, min_delay_ms: u64) {
+        *self = CopiedHeartbeats { until, min_delay_ms, by_worker: BTreeMap::new() };
+    }
+
+    /// Copies a heartbeat that is sent now if it is the worker's first one during the fault.
+    pub(super) fn record(&mut self, now: u64, worker: usize, heartbeat: &Heartbeat) {
+        if now < self.until {
+            let not_before = now + self.min_delay_ms;
+            self.by_worker
+                .entry(worker)
+                .or_insert_with(|| CopiedHeartbeat { heartbeat: heartbeat.clone(), not_before });
+        }
+    }
+
+    /// Removes and returns the copies that may be delivered now and match, with their workers.
+    pub(super) fn take(&mut self, now: u64, matches: impl Fn(&Heartbeat) -> bool) -> Vec<(usize, Heartbeat)> {
+        let is_due = |copy: &CopiedHeartbeat| copy.not_before <= now && matches(&copy.heartbeat);
+        let due: Vec<usize> =
+            self.by_worker.iter().filter(|(_, copy)| is_due(copy)).map(|(worker, _)| *worker).collect();
+        due.into_iter().filter_map(|worker| Some((worker, self.by_worker.remove(&worker)?.heartbeat))).collect()
+    }
+}
+
 /// The state of all links.
 #[derive(Default)]
 pub(super) struct Network {
@@ -35,6 +79,7 @@
     pub(super) slow_links: FaultWindow,
     pub(super) delayed_heartbeats: FaultWindow,
     pub(super) duplicated_heartbeats: FaultWindow,
+    pub(super) copied_heartbeats: CopiedHeartbeats,
 }
 
 impl Network {
--- a/tests/simulator/store_calls.rs
+++ b/tests/simulator/store_calls.rs
@@ -4,8 +4,8 @@
 use super::faults::{FaultWindow, MIN_TRANSACTION_DELAY_MS, TRANSACTION_DELAY_SPREAD_MS};
 use super::SimulatedCluster;
 use tillercleat::coordination::Input;
-use tillercleat::protocol::state::{StoreRequest, StoreResponse};
-use tillercleat::units::CallId;
+use tillercleat::protocol::state::{Change, StoreRequest, StoreResponse};
+use tillercleat::units::{CallId, ShardId};
 
 /// How long controllers wait for an answer from the store (milliseconds).
 const TIMEOUT_MS: u64 = 1500;
@@ -149,7 +149,25 @@
                 return self.schedule(now + WATCH_PAUSE_MS, ScheduledEvent::StoreCall(call));
             }
         }
+        let new_owners = new_shard_owners(&call.call);
         let answer = self.store.execute(now, call.call);
+        if matches!(answer, StoreResponse::Committed(_)) {
+            for (shard, owner) in new_owners {
+                self.send_copied_heartbeats(shard, owner);
+            }
+        }
         self.answer_store_call(call.caller, call.id, answer, ANSWER_MS);
     }
 }
+
+/// Returns the shards to which a call assigns an owner, with the owner's index.
+fn new_shard_owners(call: &StoreRequest) -> Vec<(ShardId, usize)> {
+    let StoreRequest::Transaction(transaction) = call else { return vec![] };
+    let new_owner = |change: &Change| {
+        let Change::Put { key, value, .. } = change else { return None };
+        let shard = key.strip_prefix("t/o/")?.parse().ok()?;
+        let owner = value["node"].as_str()?.strip_prefix('n')?.parse().ok()?;
+        Some((ShardId(shard), owner))
+    };
+    transaction.changes.iter().filter_map(new_owner).collect()
+}
--- a/tests/simulator/workers.rs
+++ b/tests/simulator/workers.rs
@@ -86,6 +86,13 @@
         self.tasks.clear();
     }
 
+    fn fail_task(&mut self, name: &TaskName) {
+        if let Some(task) = self.tasks.get_mut(name) {
+            task.state = TaskState::Exited;
+            task.exit_reason = Some(ExitReason::Failed);
+        }
+    }
+
     pub(super) fn runs(&self, task: &TaskName) -> bool {
         self.tasks.get(task).is_some_and(WorkerTask::is_running)
     }
@@ -164,6 +171,22 @@
         }
     }
 
+    /// Lets every nth running task fail, in order of machines and tasks.
+    pub(super) fn fail_tasks(&mut self, every_nth: usize) {
+        for index in 0..self.workers.len() {
+            self.advance_worker(index);
+        }
+        let mut running = vec![];
+        for (index, worker) in self.workers.iter().enumerate().filter(|(_, worker)| worker.alive) {
+            let tasks = worker.tasks.iter().filter(|(_, task)| task.is_running());
+            running.extend(tasks.map(|(name, _)| (index, name.clone())));
+        }
+        for (index, name) in running.into_iter().step_by(every_nth.max(1)) {
+            self.checks.record_ended_task(self.now, index, &name.job);
+            self.workers[index].fail_task(&name);
+        }
+    }
+
     /// Executes a controller's command on a worker.
     pub(super) fn execute_command(&mut self, index: usize, command: Command) {
         let worker = &mut self.workers[index];
