Time a run that is restarted in a new agent epoch from its own start

A newer epoch proves that all runs of the earlier one have ended, so their start times are dropped with the reported tasks.

--- a/src/coordination/heartbeats/handling.rs
+++ b/src/coordination/heartbeats/handling.rs
@@ -59,6 +59,10 @@
         if heartbeat.agent_epoch > machine.agent_epoch {
             machine.reported_tasks.clear();
             machine.starts_sent.clear();
+            // All runs of the earlier epoch have ended; the same attempts may be started again.
+            for key in owned_shard.placed_tasks.get(&heartbeat.machine).into_iter().flatten() {
+                owned_shard.running_since.remove(key);
+            }
         }
         machine.agent_epoch = heartbeat.agent_epoch;
         machine.heartbeat_number = heartbeat.heartbeat_number;
--- a/src/coordination/heartbeats/handling/tests.rs
+++ b/src/coordination/heartbeats/handling/tests.rs
@@ -133,3 +133,17 @@
         assert_eq!(case.task_after(heartbeat_id(2, 32), 9, Exited, exited), after_exit, "{reason:?}");
     }
 }
+
+/// Guards against run times that span two runs: the run of the earlier epoch was counted as part of the attempt's run in the
+/// current one, so the learned run times were too long and the remaining time too short.
+#[test]
+fn a_run_restarted_in_a_new_epoch_is_timed_from_its_own_start() {
+    let mut case = Case::new();
+    case.core.now = MonotonicTime(1000);
+    case.task_after(heartbeat_id(1, 4), 9, TaskState::Running, None);
+    case.core.now = MonotonicTime(15_000);
+    case.task_after(heartbeat_id(2, 6), 9, TaskState::Running, None);
+    case.core.now = MonotonicTime(16_000);
+    case.task_after(heartbeat_id(2, 7), 9, TaskState::Running, None);
+    assert_eq!(case.core.owned_shards[&ShardId(0)].running_since.get(&case.key), Some(&MonotonicTime(15_000)));
+}
