Give a replica's heartbeat no age until the worker has seen the owner's token

The age of the newest heartbeat counts from its arrival, so a late heartbeat of an earlier epoch, the first that a new owner receives, confirmed a failure of a replica whose machine may be gone. Found by reading; no roll-out was seen to revert.

Without the change a_heartbeat_without_the_owners_token_does_not_confirm_that_a_replica_still_runs fails (0 instead of the maximum). Not covered: a heartbeat that names the token and was sent before the check but arrives after it.

--- a/src/coordination/jobs/replicas.rs
+++ b/src/coordination/jobs/replicas.rs
@@ -43,7 +43,7 @@
     /// Zone of the machine; empty while the replica is not on a known machine.
     pub zone: String,
     /// Time since the machine's last heartbeat; the maximum value while the replica is not on a known
-    /// machine.
+    /// machine whose worker has seen the owner's fencing token.
     pub heartbeat_age: Millis,
     /// The last attempt known to have failed by a fault of the replica itself, if any.
     pub failed_attempt: Option<Attempt>,
@@ -88,13 +88,23 @@
             state,
             addr: machine.map(|machine| machine.addr.clone()).unwrap_or_default(),
             zone: machine.map(|machine| machine.zone.clone()).unwrap_or_default(),
-            heartbeat_age: machine.map_or(Millis(u64::MAX), |machine| self.now.since(machine.last_heartbeat)),
+            heartbeat_age: machine.map_or(Millis(u64::MAX), |machine| self.age_of_newest_heartbeat(machine)),
             failed_attempt: self.estimates.failed_attempt(&key),
             token: owned_shard.token,
             job: key.0,
         })
     }
 
+    /// Returns the time since the machine's newest heartbeat arrived. Returns the maximum value until the worker has seen this
+    /// owner's fencing token: the heartbeat may be a late one of an earlier epoch.
+    fn age_of_newest_heartbeat(&self, machine: &Machine) -> Millis {
+        if machine.token_acknowledged {
+            self.now.since(machine.last_heartbeat)
+        } else {
+            Millis(u64::MAX)
+        }
+    }
+
     /// Records a failed attempt of a task, if the task is a replica of a service.
     pub(crate) fn record_replica_failure(&mut self, key: &TaskKey, attempt: Attempt) {
         let service = self.cache.jobs.get(&key.0).is_some_and(|job| job.record.spec.kind == JobKind::Service);
@@ -129,3 +139,6 @@
         _ => ReplicaState::Placed,
     }
 }
+
+#[cfg(test)]
+mod tests;
