Answer 200 to a submission whose write got no answer and whose job is on record

Cause: a node whose transaction got no answer reads the record and, if it is there, took it for its own. It may be from an earlier submission whose user was told.

The library's tests and those of submissions, limits, startup and end_to_end pass.

--- a/src/coordination/jobs/submission.rs
+++ b/src/coordination/jobs/submission.rs
@@ -123,35 +123,28 @@
                 self.milestone_reached(Milestone::SubmissionAccepted);
                 self.answer_job(request, JobResponseStatus::Accepted, &spec.id, None);
             }
-            // Another submission of the job was committed first.
-            StoreResponse::Conflict(_) => self.read_submitted(request, spec.id, JobResponseStatus::Known),
-            // If the record exists, assume that this submission wrote it.
-            StoreResponse::Unknown => self.read_submitted(request, spec.id, JobResponseStatus::Accepted),
+            // Another submission of the job was committed first, or may have been: its user may know already that
+            // the job was accepted.
+            StoreResponse::Conflict(_) | StoreResponse::Unknown => self.read_submitted(request, spec.id),
             StoreResponse::Invalid(_) => self.refuse(request, Refusal::RejectedByStore),
             _ => self.refuse(request, Refusal::StoreUnavailable),
         }
     }
 
-    fn read_submitted(&mut self, request: RequestId, job: JobId, status: JobResponseStatus) {
+    fn read_submitted(&mut self, request: RequestId, job: JobId) {
         self.store.charge_request(self.now);
         let call = StoreRequest::Get { key: job_key(&job) };
-        self.call_store(call, PendingRequest::SubmitRead { request, job, status });
+        self.call_store(call, PendingRequest::SubmitRead { request, job });
     }
 
-    /// Handles the response to the read of a submitted job's record and answers with the given status.
+    /// Handles the response to the read of a submitted job's record and answers that the job is known.
     /// A job without a record is looked up in the archive.
-    pub(crate) fn handle_submit_read(
-        &mut self,
-        request: RequestId,
-        job: JobId,
-        status: JobResponseStatus,
-        answer: StoreResponse,
-    ) {
+    pub(crate) fn handle_submit_read(&mut self, request: RequestId, job: JobId, answer: StoreResponse) {
         if matches!(answer, StoreResponse::Missing(_)) {
             return self.look_up_archived(request, job, true);
         }
         match self.cache_job_record(answer) {
-            Some((id, record)) => self.answer_job(request, status, &id, Some(&record)),
+            Some((id, record)) => self.answer_job(request, JobResponseStatus::Known, &id, Some(&record)),
             None => self.refuse(request, Refusal::StoreUnavailable),
         }
     }
--- a/src/coordination/store_client/pending_requests.rs
+++ b/src/coordination/store_client/pending_requests.rs
@@ -8,7 +8,7 @@
 use crate::coordination::jobs::dependency_check::DependencyCheck;
 use crate::coordination::jobs::status_query::StatusQuery;
 use crate::coordination::jobs::validation::HeldRefusal;
-use crate::coordination::{CloudCall, Core, JobResponseStatus, Output};
+use crate::coordination::{CloudCall, Core, Output};
 use crate::protocol::cloud::ListedMachine;
 use crate::protocol::state::{Change, StoreRequest, StoreResponse, Transaction};
 use crate::protocol::users::JobSpec;
@@ -44,9 +44,8 @@
     },
     /// Writes the record of a submitted job before the user gets a response.
     SubmitWrite { request: RequestId, transaction: Transaction, spec: Box<JobSpec> },
-    /// Reads the record of a job that may have been submitted before. `status` goes into the
-    /// response to the submission if the record exists.
-    SubmitRead { request: RequestId, job: JobId, status: JobResponseStatus },
+    /// Reads the record of a job that may have been submitted before, by this request or by another.
+    SubmitRead { request: RequestId, job: JobId },
     /// Asks for the store's newest revision. These status queries wait until the cache reaches it.
     RevisionProbe(Vec<StatusQuery>),
     /// Looks up a job without a record in the archive; `known` if the job has been accepted before.
@@ -149,9 +148,7 @@
             PendingRequest::SubmitWrite { request, transaction, spec } => {
                 self.handle_submit_write(request, transaction, spec, response)
             }
-            PendingRequest::SubmitRead { request, job, status } => {
-                self.handle_submit_read(request, job, status, response)
-            }
+            PendingRequest::SubmitRead { request, job } => self.handle_submit_read(request, job, response),
             PendingRequest::ArchiveLookUp { request, job, known } => {
                 self.handle_archive_read(request, job, known, response)
             }
